--- a/lupindock/decide.py
+++ b/heronstall/decide.py
@@ -1,4 +1,4 @@
-"""The decisions of one node. Its settings, events and actions are in `lupindock/interface.py`.
+"""The decisions of one node. Its settings, events and actions are in `heronstall/interface.py`.
 
 ProFaaStinate's two lanes, busy/idle switch and (ours) weighted draw decide the ordinary path: docs/design.md.
 Everything here is driven by `Balancer.handle`; time comes from its argument alone, in whole microseconds.
@@ -11,7 +11,7 @@
 from collections import deque
 from collections.abc import Sequence
 
-from lupindock import interface as i
+from heronstall import interface as i
 
 MS, SECOND = 1_000, 1_000_000
 NEVER = -(10**15)  # before any clock
--- a/lupindock/interface.py
+++ b/heronstall/interface.py
@@ -1,4 +1,4 @@
-"""Everything that passes between `lupindock.decide.Balancer` and its host: settings, events, actions.
+"""Everything that passes between `heronstall.decide.Balancer` and its host: settings, events, actions.
 
 All times and durations are whole microseconds; `None` stands for what is not known.
 """
--- a/lupindock/simhost.py
+++ b/heronstall/simhost.py
@@ -7,9 +7,9 @@
 import traceback
 from typing import TextIO
 
-from lupindock.decide import Balancer
-from lupindock.interface import Event
-from lupindock.wire import READERS, Codec, WireError, config_object, encode, integer, topology
+from heronstall.decide import Balancer
+from heronstall.interface import Event
+from heronstall.wire import READERS, Codec, WireError, config_object, encode, integer, topology
 
 
 class Host:
@@ -107,7 +107,7 @@
     try:
         Host(sys.stdin, sys.stdout).run()
     except WireError as error:
-        print(f"lupindock: {error}", file=sys.stderr)
+        print(f"heronstall: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/lupindock/wire.py
+++ b/heronstall/wire.py
@@ -1,4 +1,4 @@
-"""The codec between the simulator's text wire and `lupindock.interface`."""
+"""The codec between the simulator's text wire and `heronstall.interface`."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any, cast
 
-from lupindock import interface as i
+from heronstall import interface as i
 
 
 class WireError(ValueError):
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -6,7 +6,7 @@
 import sys
 from collections import Counter
 
-from lupindock.interface import (
+from heronstall.interface import (
     Arrival,
     Cancel,
     JobNote,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,7 +7,7 @@
 import pytest
 from hypothesis import given, settings, strategies
 
-from lupindock.interface import (
+from heronstall.interface import (
     PROVES_NOT_RUN,
     Arrival,
     Cancel,
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,8 +10,8 @@
 
 import pytest
 
-from lupindock.interface import Cancel, Fail, Log, Probe, Refuse, Send, Subscribe, WakeAt
-from lupindock.wire import Codec, WireError, encode
+from heronstall.interface import Cancel, Fail, Log, Probe, Refuse, Send, Subscribe, WakeAt
+from heronstall.wire import Codec, WireError, encode
 
 ROOT = Path(__file__).resolve().parent.parent
 CONFIG: dict[str, Any] = {
@@ -99,12 +99,12 @@
 def test_an_exception_in_the_decisions_becomes_a_bug_line(monkeypatch: pytest.MonkeyPatch) -> None:
     import io
 
-    from lupindock import simhost
+    from heronstall import simhost
 
     def broken(*_: object) -> None:
         raise IndexError("out of\nrange")
 
-    monkeypatch.setattr("lupindock.decide.Balancer.handle", broken)
+    monkeypatch.setattr("heronstall.decide.Balancer.handle", broken)
     sink = io.StringIO()
     simhost.Host(io.StringIO(FIRST), sink).run()
     assert sink.getvalue() == "BUG 3 IndexError: out of range\nFINISHED\n"
--- a/tests/world.py
+++ b/tests/world.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass, field
 
-from lupindock.decide import Balancer
-from lupindock.interface import (
+from heronstall.decide import Balancer
+from heronstall.interface import (
     PROVES_NOT_RUN,
     Action,
     Arrival,
