Build the real dispatcher on epoll round the decision module

The module is driven by heronstall/net: sessions, dispatches, probes, the server table and the clock. Settings parsing moves from wire.py to config.py, so both programs read them in one place.

--- a/heronstall/interface.py
+++ b/heronstall/interface.py
@@ -56,6 +56,7 @@
     second_copies: bool = False
     max_attempts: int = 3
     marks_retry: bool = False
+    max_retry_after: int = 0
     answer_grace: int = 0
     cold: int = 0
     cold_from: float = 1.0
@@ -76,7 +77,7 @@
                 raise ValueError(f"class {number}: stretch and worths must be finite and not negative")
         if self.nodes < 1 or self.tick <= 0 or self.max_attempts < 1:
             raise ValueError("nodes, tick and max_attempts must be at least 1")
-        if min(self.answer_grace, self.cold, self.ask_within) < 0:
+        if min(self.answer_grace, self.cold, self.ask_within, self.max_retry_after) < 0:
             raise ValueError("graces and periods must not be negative")
         if self.fall <= 0 or not self.fall_multiple > 0 or not 0 <= self.cold_from <= 1:
             raise ValueError("fall and fall_multiple must be above 0, cold_from between 0 and 1")
--- /dev/null
+++ b/heronstall/net/connection.py
@@ -0,0 +1,219 @@
+"""A connection: its buffer, h11 on top of it, and the one list of the ways in which a connection can end."""
+
+from __future__ import annotations
+
+import contextlib
+import enum
+import socket
+from typing import Any
+
+import h11
+
+from heronstall import interface as i
+from heronstall.config import Address
+from heronstall.net.loop import READ, WRITE, Coroutine, Loop
+
+FIRST_SIZE, FEED = 4096, 16 * 1024
+BODY_LIMIT = 64 * 1024
+HEAD_LIMIT = 16 * 1024
+
+
+class Ending(enum.Enum):
+    """Every way in which a connection, or one exchange on it, can end."""
+
+    SERVED = "the answer came"
+    FAILED = "the backend server said that it failed"
+    RETURNED = "the backend server turned it away or handed it back unstarted"
+    LOST = "the backend server lost the running job"
+    REFUSED = "no connection: refused, unreachable or no answer within the connect time-out"
+    UNSENT = "broken before the request's last byte was written"
+    BROKEN = "broken after the request's last byte was written"
+    CLOSED = "closed by the far end between messages"
+    MALFORMED = "what came was malformed"
+    TIMED_OUT = "no answer in time"
+    UNSENT_IN_TIME = "time ran out before the request's last byte was written"
+    CANCELLED = "called off"
+    WITHDRAWN = "not begun: the backend server drains or is gone, or no descriptor is left"
+    CRASHED = "an unexpected error of our own"
+
+
+# The one place where an ending becomes an outcome of the decision module. A break before the last byte
+# proves that the job has not run; after it, nothing does, whatever the backend server or we were at.
+OUTCOME: dict[Ending, i.Status] = {
+    Ending.SERVED: "ok",
+    Ending.FAILED: "error",
+    Ending.RETURNED: "rejected",
+    Ending.LOST: "reset",
+    Ending.REFUSED: "no_connection",
+    Ending.UNSENT: "no_connection",
+    Ending.BROKEN: "reset",
+    Ending.CLOSED: "reset",
+    Ending.MALFORMED: "reset",
+    Ending.TIMED_OUT: "timeout",
+    Ending.UNSENT_IN_TIME: "not_sent",
+    Ending.CANCELLED: "cancelled",
+    Ending.WITHDRAWN: "not_sent",
+    Ending.CRASHED: "reset",
+}
+
+
+class Ended(Exception):
+    """Raised in a coroutine when its connection has ended."""
+
+    def __init__(self, ending: Ending, detail: str = "") -> None:
+        super().__init__(detail or ending.value)
+        self.ending = ending
+
+
+class Buffer:
+    """Bytes received and not yet parsed: grows as needed and is compacted in place."""
+
+    __slots__ = ("_bytes", "_start", "_end")
+
+    def __init__(self) -> None:
+        self._bytes = bytearray(FIRST_SIZE)
+        self._start = self._end = 0
+
+    def __len__(self) -> int:
+        return self._end - self._start
+
+    def fill(self, sock: socket.socket) -> int:
+        """Receive what fits; 0 at the end of the stream. Raises as `recv_into` does."""
+        if self._end == len(self._bytes):
+            if self._start:
+                held = len(self)
+                self._bytes[:held] = self._bytes[self._start : self._end]
+                self._start, self._end = 0, held
+            else:
+                self._bytes.extend(bytes(len(self._bytes)))
+        with memoryview(self._bytes) as whole, whole[self._end :] as room:
+            got = sock.recv_into(room)
+        self._end += got
+        return got
+
+    def feed(self, parser: h11.Connection) -> None:
+        """Hand the parser the next bytes, not more than it can want for one message part."""
+        step = min(len(self), FEED)
+        with memoryview(self._bytes) as whole, whole[self._start : self._start + step] as part:
+            parser.receive_data(part)  # type: ignore[arg-type]  # any bytes-like object will do
+        self._start += step
+        if self._start == self._end:
+            self._start = self._end = 0
+            if len(self._bytes) > FEED:  # one large message must not hold memory for the connection's life
+                self._bytes = bytearray(FIRST_SIZE)
+
+
+class Connection:
+    """A non-blocking socket with its buffer and parser. Whoever makes it closes it."""
+
+    def __init__(self, loop: Loop, sock: socket.socket, role: type[h11.CLIENT] | type[h11.SERVER]) -> None:
+        self.loop, self.sock = loop, sock
+        self.parser = h11.Connection(role, max_incomplete_event_size=HEAD_LIMIT)
+        self.buffer = Buffer()
+        self.ended = False  # the far end will send nothing more
+        self.idle_since = loop.now
+
+    def event(self, until: int | None) -> Coroutine[Any]:
+        """The next h11 event. Raises Ended when none comes in time, or connection or bytes are bad."""
+        while True:
+            try:
+                event = self.parser.next_event()
+            except h11.RemoteProtocolError as error:
+                broken = self.ended and not len(self.buffer)
+                raise Ended(Ending.BROKEN if broken else Ending.MALFORMED, str(error)) from None
+            if event is not h11.NEED_DATA:
+                return event
+            yield from self.more(until)
+
+    def more(self, until: int | None) -> Coroutine[None]:
+        """Bring more bytes, or the end of the stream, to the parser."""
+        while not len(self.buffer):
+            try:
+                if not self.buffer.fill(self.sock):
+                    self.ended = True
+                    self.parser.receive_data(b"")
+                    return
+            except BlockingIOError:
+                if not (yield self.sock.fileno(), READ, until):
+                    raise Ended(Ending.TIMED_OUT) from None
+            except OSError as error:
+                raise Ended(Ending.BROKEN, str(error)) from None
+        self.buffer.feed(self.parser)
+
+    def write(self, data: bytes, until: int | None) -> Coroutine[None]:
+        """Write all of it. Raises Ended UNSENT or UNSENT_IN_TIME if that cannot be."""
+        with memoryview(data) as view:
+            at = 0
+            while at < len(view):
+                try:
+                    at += self.sock.send(view[at:])
+                except BlockingIOError:
+                    if not (yield self.sock.fileno(), WRITE, until):
+                        raise Ended(Ending.UNSENT_IN_TIME) from None
+                except OSError as error:
+                    raise Ended(Ending.UNSENT, str(error)) from None
+
+    def fresh(self) -> bool:
+        """Whether the far end still holds this idle connection open and has said nothing out of turn."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return not len(self.buffer)
+        except OSError:
+            return False
+        return False
+
+    def close(self) -> None:
+        """Close it, at the end of the batch in hand."""
+        self.loop.close(self.sock)
+
+
+def connect(loop: Loop, to: Address, until: int) -> Coroutine[Connection]:
+    """Open a client's connection. Raises Ended REFUSED when it does not come up in time."""
+    sock = socket.socket(
+        socket.AF_INET6 if ":" in to[0] else socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK
+    )
+    done = False
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            sock.connect(to)
+        except BlockingIOError:
+            if not (yield sock.fileno(), WRITE, until):
+                raise Ended(Ending.REFUSED, "connect timed out") from None
+            error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if error:
+                raise OSError(error, "connect failed") from None
+        done = True
+        return Connection(loop, sock, h11.CLIENT)
+    except OSError as error:
+        raise Ended(Ending.REFUSED, str(error)) from None
+    finally:
+        if not done:
+            loop.close(sock)
+
+
+class Lines:
+    """Splits a stream that comes in pieces into lines."""
+
+    def __init__(self, limit: int) -> None:
+        self._held = bytearray()
+        self._limit = limit
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """The lines that are whole now. Raises Ended MALFORMED for one that is too long."""
+        self._held += data
+        if b"\n" not in data:
+            whole: list[bytes] = []
+        else:
+            *whole, rest = bytes(self._held).split(b"\n")
+            self._held[:] = rest
+        if len(self._held) > self._limit or any(len(line) > self._limit for line in whole):
+            raise Ended(Ending.MALFORMED, f"a line of over {self._limit} bytes")
+        return [line for line in (part.strip() for part in whole) if line]
+
+
+def shut_writing(sock: socket.socket) -> None:
+    """Say that nothing more will be sent."""
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_WR)
--- /dev/null
+++ b/heronstall/net/dispatcher.py
@@ -0,0 +1,198 @@
+"""The host of the decision module: feeds it events, carries out its actions in order, knows no protocol.
+
+It decides nothing about whom, when or whether to retry. A second protocol would bring its own frontend and
+backend and pass through the same `Dispatcher`, and so through the same decisions and rules.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from collections.abc import Callable
+from typing import Any, Literal, NamedTuple, Protocol
+
+from heronstall import interface as i
+from heronstall.config import Config
+from heronstall.decide import Balancer
+from heronstall.net.connection import OUTCOME, Ending
+from heronstall.net.loop import Loop, Timer
+from heronstall.net.server_table import BackendServer, ServerTable
+
+REPORT_EVERY = 10_000_000
+log = logging.getLogger("heronstall.dispatcher")
+
+
+class Answer(NamedTuple):
+    """The final answer to a session, in no protocol's words. Times are microseconds."""
+
+    kind: Literal["served", "refused", "failed"]
+    body: bytes = b""
+    retry_after: int = 0
+
+
+class OpenDispatch(Protocol):
+    """A dispatch under way, as its protocol's backend made it."""
+
+    def start(self) -> None:
+        """Begin. It ends with one call of `Dispatcher.dispatch_ended`."""
+
+    def cancel(self) -> None:
+        """Close it now, unless it has ended."""
+
+
+class Backend(Protocol):
+    """What a protocol's backend side offers."""
+
+    def dispatch(self, session: Session, server: BackendServer, index: int, until: int) -> OpenDispatch:
+        """Prepare one attempt."""
+
+    def probe(self, server: BackendServer) -> None:
+        """Ask for a report; one `ProbeResult` is posted for it."""
+
+
+class Session:
+    """One request of a client, from its last byte to its one final answer."""
+
+    __slots__ = ("number", "deadline", "job", "reply", "over", "attempts", "open")
+
+    def __init__(self, number: int, deadline: int, job: Any, reply: Callable[[Answer], None]) -> None:
+        self.number, self.deadline = number, deadline
+        self.job = job  # what the protocol has to pass on; opaque here
+        self.reply = reply
+        self.over = False  # answered, or its client has left
+        self.attempts = 0
+        self.open: OpenDispatch | None = None
+
+
+class Dispatcher:
+    """Sessions in, dispatches out."""
+
+    def __init__(self, config: Config, loop: Loop) -> None:
+        self._loop = loop
+        self._balancer = Balancer(config.settings, config.seed)
+        self._sessions: dict[int, Session] = {}
+        self._events: list[i.Event] = []
+        self._timer: Timer | None = None
+        self._next = 1
+        self._counts: Counter[str] = Counter()
+        self.table: ServerTable
+        self.backend: Backend
+        loop.at(loop.now + REPORT_EVERY, self._report)
+
+    # ------------------------------------------------------------------ events
+
+    def post(self, event: i.Event) -> None:
+        """Tell the module. All events of one batch of the loop reach it together."""
+        if not self._events:
+            self._loop.soon(self._turn)
+        self._events.append(event)
+
+    def submit(self, arrival: i.Arrival, job: Any, reply: Callable[[Answer], None]) -> Session:
+        """A request has come whole; `arrival` lacks only its number."""
+        session = Session(self._next, self._loop.now + arrival.time_left, job, reply)
+        self._next += 1
+        self._sessions[session.number] = session
+        self.post(arrival._replace(request=session.number))
+        return session
+
+    def client_gone(self, session: Session) -> None:
+        """The client left, or its answer can't be given any more."""
+        if not session.over:
+            self._counts["gone"] += 1
+            session.over = True
+            self.post(i.ClientGone(session.number))
+            self._forget(session)
+
+    def note(self, session: Session, server: BackendServer, index: int, share: float | None) -> None:
+        """The job has started (no share), or a share of it is done."""
+        self.post(i.JobNote(session.number, server.number, index, share))
+
+    def dispatch_ended(
+        self,
+        session: Session,
+        server: BackendServer,
+        index: int,
+        ending: Ending,
+        latency: int,
+        report: i.Report | None,
+        result: bytes,
+    ) -> None:
+        """The one end of a dispatch: it becomes one Outcome, and a result goes straight to the client."""
+        self._counts[ending.name.lower()] += 1
+        session.open = None
+        if ending is Ending.SERVED:
+            self._answer(session, Answer("served", result))
+        self.post(
+            i.Outcome(session.number, server.number, index, session.over, OUTCOME[ending], latency, report)
+        )
+        self._forget(session)
+
+    # ------------------------------------------------------------------ actions
+
+    def _turn(self) -> None:
+        events, self._events = self._events, []
+        for action in self._balancer.handle(self._loop.now, events):
+            if isinstance(action, i.Send):
+                self._send(action)
+            elif isinstance(action, i.Cancel):
+                session = self._sessions.get(action.request)
+                if (
+                    session is not None
+                    and session.open is not None
+                    and action.attempt == session.attempts - 1
+                ):
+                    session.open.cancel()
+            elif isinstance(action, (i.Refuse, i.Fail)):
+                session = self._sessions.get(action.request)
+                if session is not None:
+                    refused = isinstance(action, i.Refuse)
+                    wait = action.retry_after if isinstance(action, i.Refuse) else 0
+                    self._answer(session, Answer("refused" if refused else "failed", b"", wait))
+            elif isinstance(action, i.WakeAt):
+                if self._timer is not None:
+                    self._timer.cancel()
+                self._timer = self._loop.at(action.at, lambda mark=action.mark: self.post(i.Timer(mark)))  # type: ignore[misc]
+            elif isinstance(action, i.Probe):
+                server = self.table.by_number.get(action.worker)
+                if server is not None:
+                    self.backend.probe(server)
+            elif isinstance(action, i.Log):
+                log.info("decisions: %s", action.text)
+            # Subscribe: the watch is always on.
+
+    def _send(self, action: i.Send) -> None:
+        session = self._sessions.get(action.request)
+        server = self.table.by_number.get(action.worker)
+        if session is None:
+            log.error("decisions sent unknown session %d", action.request)
+            return
+        index = session.attempts
+        session.attempts += 1
+        if session.over or server is None or session.open is not None:
+            # Guards the rules against a wrong decision: no copy beside another, none after the final answer.
+            log.error("dispatch %d of session %d not made", index, session.number)
+            self.post(i.Outcome(session.number, action.worker, index, session.over, "not_sent"))
+            return
+        until = session.deadline
+        if action.timeout:
+            until = min(until, self._loop.now + action.timeout)
+        session.open = dispatch = self.backend.dispatch(session, server, index, until)
+        dispatch.start()
+
+    def _answer(self, session: Session, answer: Answer) -> None:
+        if not session.over:
+            session.over = True
+            self._counts[answer.kind] += 1
+            session.reply(answer)
+            self._forget(session)
+
+    def _forget(self, session: Session) -> None:
+        if session.over and session.open is None:
+            self._sessions.pop(session.number, None)
+
+    def _report(self) -> None:
+        if self._counts:
+            told = " ".join(f"{name}={count}" for name, count in sorted(self._counts.items()))
+            log.info("last 10 s: sessions open=%d; %s", len(self._sessions), told)
+            self._counts.clear()
+        self._loop.at(self._loop.now + REPORT_EVERY, self._report)
--- a/heronstall/wire.py
+++ b/heronstall/wire.py
@@ -4,12 +4,12 @@
 
 import base64
 import binascii
-import json
 import math
 from collections.abc import Callable, Sequence
 from typing import Any, cast
 
 from heronstall import interface as i
+from heronstall.config import ConfigError, parse, report_meanings, settings
 
 
 class WireError(ValueError):
@@ -27,8 +27,6 @@
     "NOP": "not_sent",
 }
 SCOPE = {"Partial": "changes", "Complete": "complete", "Persisted": "persisted", "Error": "error"}
-VIA = {"piggyback": "answers", "pull": "probe", "silent": "none"}
-REPORT_SLOT = {"cpu_share": "util", "busy_reqs": "inflight", "pending": "queued"}
 
 
 def integer(text: str) -> int:
@@ -77,12 +75,10 @@
 
     def __init__(self, config: dict[str, Any]) -> None:
         try:
-            self._fields = report_fields(config)
+            self._fields = [place for _, place in report_meanings(config)]
             self.settings = settings(config)
-        except (KeyError, TypeError, IndexError, AttributeError) as error:
-            raise WireError(f"settings lack or distort a value ({error!r})") from None
-        except ValueError as error:
-            raise WireError(f"settings out of range: {error}") from None
+        except ConfigError as error:
+            raise WireError(f"settings: {error}") from None
 
     def report(self, text: str) -> i.Report | None:
         """A load report; missing or absurd figures make it none at all."""
@@ -215,75 +211,9 @@
     return f"JOURNAL_LINE {node} {action.text}"
 
 
-def report_fields(config: dict[str, Any]) -> list[int]:
-    """For each reported value, its place in `interface.Report`, or -1 where we have no use for it."""
-    info = config.get("familyInfo") or {}
-    meaning = dict(REPORT_SLOT)
-    for name, told in (("x0", info.get("reportX0")), ("x1", info.get("reportX1"))):
-        if told == "free slots":
-            meaning[name] = "free_slots"
-        elif told == "free memory":
-            meaning[name] = "free_memory"
-    places = i.Report._fields
-    fields = (config.get("loadReport") or {}).get("fields") or []
-    return [places.index(meaning[f]) if f in meaning else -1 for f in fields]
-
-
-def settings(config: dict[str, Any]) -> i.Settings:
-    """The LAUNCH object in our terms; keys that we do not know are ignored."""
-    limits, rules = config.get("policyLimits") or {}, config.get("rules") or {}
-    info = config.get("familyInfo") or {}
-
-    def per_class(name: str, at: int, default: Any) -> Any:
-        row = info.get(name) or []
-        return row[at] if at < len(row) else default
-
-    classes = tuple(
-        i.RequestClass(
-            aim=int(c["aim"]),
-            deadline=int(c["deadline"]),
-            effect=c.get("effect", "unsafe"),
-            group=c.get("group") or "all",
-            repeat_window=int(c.get("repeatWindow") or 0),
-            stretch=float(c.get("aimStretch") or per_class("classStretch", n, 0.0) or 0.0),
-            worth=float(c.get("worth", 1.0)),
-            late_worth=float(c.get("lateWorth") or 0.0),
-            priority=int(per_class("classPriority", n, 0)),
-            kind=int(per_class("classKind", n, -1)),
-            streamed=bool(c.get("streamed", False)),
-        )
-        for n, c in enumerate(config["services"])
-    )
-    return i.Settings(
-        classes=classes,
-        tenants=tuple(i.Tenant(float(t["quotaPerS"])) for t in config.get("tenants") or []),
-        nodes=int(config.get("balancers", 1)),
-        zone=int(config.get("myZone", 0)),
-        tick=int(config.get("tick", 1000)),
-        discovery_on_request=config.get("discovery") == "on_request",
-        ask_within=int(rules.get("askWithin", 10_000_000)),
-        reports=cast(Any, VIA.get((config.get("loadReport") or {}).get("via", "silent"), "none")),
-        probes=bool(limits.get("probes", False)),
-        cancelling=bool(limits.get("cancelling", False)),
-        second_copies=bool(limits.get("parallelTries", False)),
-        max_attempts=int(limits.get("maxAttempts", 1)),
-        marks_retry=bool((config.get("callers") or {}).get("marksRetry", False)),
-        answer_grace=int(rules.get("graceToAnswer", 0)),
-        cold=int(rules.get("cold", 0)),
-        cold_from=float(rules.get("coldFrom", 1.0)),
-        fall=int(rules.get("fall", 1_000_000)),
-        fall_multiple=float(rules.get("fallMultiple", 1.0)),
-        tells_start=bool(info.get("tellsStart", False)),
-        progress=int(info.get("progress") or 0),
-    )
-
-
 def config_object(text: str) -> dict[str, Any]:
     """The JSON object at the end of a LAUNCH line."""
     try:
-        value = json.loads(text)
-    except ValueError:
-        raise WireError("the settings of LAUNCH are not JSON") from None
-    if not isinstance(value, dict):
-        raise WireError("the settings of LAUNCH are not an object")
-    return value
+        return parse(text, "the settings of LAUNCH")
+    except ConfigError as error:
+        raise WireError(str(error)) from None
