Move an unstarted keyed attempt only after 1 s, not after 40 ms

Ruled out: errors, full workers, resets (all near 0 in the reports) and drains. Conclusion: a move does waste work here; MOVE_SHARE's note claimed otherwise.

--- a/heronstall/decide.py
+++ b/heronstall/decide.py
@@ -29,6 +29,7 @@
 SAMPLE = 12  # workers looked at for one draw, and as many known to have room, whatever the fleet's size
 REPORT_LAG = 300 * MS  # reports tell of a moment about so long ago
 OWN_ZONE = 2.0  # weight of a worker in the node's zone: the way is shorter and often cheaper
+MOVE_WAIT = SECOND  # before an attempt that has not started is moved: its work may run on
 SILENCE = SECOND  # an attempt not started by then, at a worker that reports room, is left unanswered
 DOUBT, DOUBT_FOR = 0.05, 15 * SECOND  # weight of a worker not proven meanwhile, and how long doubt lasts
 EJECT_SHARE, EJECT_LONGEST = 0.4, 16.0  # share of workers ejected for failing, seconds of one: at the most
@@ -685,6 +686,9 @@
         allowed = self._moves.level >= 1.0 and len(job.attempts) < self._set.max_attempts and open_still
         if a.started is None:
             self._is_full(now, a.worker)
+            if now - a.sent < MOVE_WAIT:
+                self._remind(a.sent + MOVE_WAIT, job, a)
+                return
         likely = self._mean_free is None or self._mean_free >= ROOM * job.slots or len(self._open) > 0
         if allowed and likely and (c.group == "all" or self._pick(now, job) is not None):
             self._cancel(a)
