--- a/heronstall/decide.py
+++ b/heronstall/decide.py
@@ -34,7 +34,7 @@
 DOUBT, DOUBT_FOR = 0.05, 15 * SECOND  # weight of a worker not proven meanwhile, and how long doubt lasts
 EJECT_SHARE, EJECT_LONGEST = 0.4, 16.0  # share of workers ejected for failing, seconds of one: at the most
 RETRY_SHARE, RETRY_BURST = 0.2, 20.0  # retries earned by an arrival, and saved up at the most
-MOVE_SHARE = 1.0  # moves of unstarted attempts earned by an arrival: they waste no work, so more than retries
+MOVE_SHARE = 1.0  # moves of unstarted attempts earned by an arrival: a cap on what may run twice
 COLD_SAFETY = 0.35  # part of a mean worker's cold budget given out; up to twice that where nodes are many
 COLD_LARGEST = 0.3  # part of what is given out that a single job may take
 
