Tell the network code's stories over loopback sockets, and fix what they found

Seen in the stories: at the client limit accept closed one idle client more than it had to, since it made room before anybody was waiting (frontend.py _accept); answers carried no reason phrase. Both are fixed; accept now closes an idle client only for one that has come. Ruled out by story: wrong endings, answers made for another request, stale events after descriptor reuse, watch breaks, first bytes to servers long told off, EMFILE spinning.

--- a/heronstall/net/frontend.py
+++ b/heronstall/net/frontend.py
@@ -6,6 +6,7 @@
 import re
 import socket
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Any
 
 import h11
@@ -32,6 +33,7 @@
     b" req-deadline".split()
 )
 TEXT = (b"Content-Type", b"text/plain; charset=utf-8")
+REASON = {status.value: status.phrase.encode() for status in HTTPStatus}
 log = logging.getLogger("heronstall.frontend")
 
 
@@ -67,7 +69,7 @@
 
     def _accept(self) -> Coroutine[None]:
         while True:
-            if len(self._clients) >= self._limit and not self._close_idlest():
+            if len(self._clients) >= self._limit and not self._idle:
                 yield from sleep(self._loop.now + ACCEPT_PAUSE)  # the backlog holds them until one ends
                 continue
             try:
@@ -82,6 +84,8 @@
                 self._close_idlest()
                 yield from sleep(self._loop.now + ACCEPT_PAUSE)
             else:
+                if len(self._clients) >= self._limit:
+                    self._close_idlest()
                 self._admit(sock)
 
     def _admit(self, sock: socket.socket) -> None:
@@ -261,7 +265,7 @@
         headers = [*headers, (b"Content-Length", b"%d" % len(body))]
         if self._closing or parser.their_state not in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED):
             headers.append((b"Connection", b"close"))
-        data = parser.send(h11.Response(status_code=status, headers=headers)) or b""
+        data = parser.send(h11.Response(status_code=status, headers=headers, reason=REASON[status])) or b""
         data += (parser.send(h11.Data(data=body)) or b"") + (parser.send(h11.EndOfMessage()) or b"")
         yield from connection.write(data, self._loop.now + WRITE_TIME)
 
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,575 @@
+"""Stories over loopback sockets: the real dispatcher between scripted clients, backend servers and discovery.
+
+The node runs in this process, one turn of its loop at a time, so every peer is a plain socket of the test.
+"""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+import select
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+from heronstall.__main__ import build
+from heronstall.config import ConfigError, configuration
+from heronstall.net.backend import Pool, read_report
+from heronstall.net.connection import Buffer, Connection, Ended, Ending, Lines
+from heronstall.net.frontend import Frontend
+from heronstall.net.loop import READ, Coroutine, Loop
+from heronstall.net.server_table import BackendServer
+from tests.test_wire import CONFIG
+
+ROOT = Path(__file__).resolve().parent.parent
+PATIENCE = 20.0  # seconds of real time before a story counts as stuck; none is meant to need them
+SETTINGS: dict[str, Any] = {
+    **CONFIG,
+    "areas": ["a", "b"],
+    "flavors": ["m"],
+    "loadReport": {"fields": ["busy_reqs", "cpu_share", "x0"], "via": "piggyback"},
+    "policyLimits": {**CONFIG["policyLimits"], "connectTimeout": 200_000, "keepalive": 1_000_000},
+    "services": [
+        {"name": "unsafe", "aim": 1_000_000, "deadline": 9_000_000, "effect": "unsafe"},
+        {
+            "name": "keyed",
+            "aim": 1_000_000,
+            "deadline": 9_000_000,
+            "effect": "keyed",
+            "repeatWindow": 9_000_000,
+        },
+    ],
+    "tenants": [{"name": "acme", "quotaPerS": 50.0}],
+}
+
+
+def listener() -> socket.socket:
+    """A listening socket on a free loopback port."""
+    sock = socket.create_server(("127.0.0.1", 0))
+    sock.settimeout(0)
+    return sock
+
+
+def at(sock: socket.socket) -> str:
+    """host:port of a socket."""
+    host, port = sock.getsockname()
+    return f"{host}:{port}"
+
+
+def raw_config(**changes: Any) -> dict[str, Any]:
+    """All that a node is told, to be completed with addresses."""
+    base = {
+        "name": "n",
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:9",
+        "seed": "1f",
+        "settings": SETTINGS,
+    }
+    return {**base, **changes}
+
+
+class Peer:
+    """One end of a connection, read without blocking into `got`."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock, self.got, self.job, self.closed = sock, b"", b"", False
+        sock.settimeout(0)
+
+    def read(self) -> bytes:
+        """All that came so far."""
+        try:
+            while not self.closed:
+                more = self.sock.recv(65536)
+                self.got += more
+                self.closed = not more
+        except BlockingIOError:
+            pass
+        except OSError:
+            self.closed = True
+        return self.got
+
+    def say(self, *lines: str) -> None:
+        """Chunks of a streamed answer, one a line."""
+        self.sock.sendall(b"".join(b"%x\r\n%s\n\r\n" % (len(x) + 1, x.encode()) for x in lines))
+
+
+STREAM = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+class Story(unittest.TestCase):
+    """A node, its discovery and as many backend servers as a story wants."""
+
+    sockets: int = 1024
+
+    def setUp(self) -> None:
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        self.discovery = listener()
+        self.servers = [listener() for _ in range(3)]
+        self.clients: list[Peer] = []  # both held, for a socket that nobody holds is closed
+        self.ends: list[Peer] = []
+        self.loop = Loop()
+        self.raw = raw_config(
+            discovery=at(self.discovery), known=self.table(0, 1), limits={"sockets": self.sockets}
+        )
+        self.front: Frontend = build(configuration(self.raw), self.loop)
+        self.address = self.front._listener.getsockname()
+        self.watch = self.accept(self.discovery)
+
+    def table(
+        self, *numbers: int, rev: int = 1, whole: bool = True, state: str = "SERVING"
+    ) -> dict[str, Any]:
+        targets = [
+            {
+                "uid": f"s-{n}",
+                "endpoint": at(self.servers[n]),
+                "az": "a",
+                "model": "m",
+                "state": state,
+                "boot_ms": 0,
+            }
+            for n in numbers
+        ]
+        return {"rev": rev, "all": whole, "targets": targets}
+
+    def spin(self, done: Callable[[], Any]) -> Any:
+        """Turn the node's loop until something is so."""
+        end = time.monotonic() + PATIENCE
+        while not (result := done()):
+            if time.monotonic() > end:
+                self.fail("the story got stuck")
+            self.loop.turn(0.005)
+        return result
+
+    def rest(self, seconds: float) -> None:
+        end = time.monotonic() + seconds
+        self.spin(lambda: time.monotonic() >= end)
+
+    def accept(self, *listeners: socket.socket) -> Peer:
+        def come() -> Peer | None:
+            ready = select.select(listeners, [], [], 0)[0]
+            return Peer(ready[0].accept()[0]) if ready else None
+
+        peer = self.spin(come)
+        assert isinstance(peer, Peer)
+        return peer
+
+    def client(self) -> Peer:
+        return Peer(socket.create_connection(self.address))
+
+    def ask(
+        self, kind: str = "unsafe", wait: str = "9.0", body: bytes = b"pay", peer: Peer | None = None
+    ) -> Peer:
+        peer = peer or self.client()
+        self.clients.append(peer)
+        peer.got = b""
+        peer.sock.sendall(
+            b"POST /api?x=1 HTTP/1.1\r\nHost: o\r\nReq-Id: id-1\r\nReq-Kind: %s\r\nReq-Owner: acme\r\n"
+            b"Req-Deadline: %s\r\nIdempotency-Key: k1\r\nReq-Extra: slots=1\r\nContent-Length: %d\r\n\r\n%s"
+            % (kind.encode(), wait.encode(), len(body), body)
+        )
+        return peer
+
+    def dispatched(self) -> Peer:
+        """The backend server's end of the next dispatch, its request in `job`; probes are answered too."""
+
+        def job() -> Peer | None:
+            for sock in select.select(self.servers, [], [], 0)[0]:
+                self.ends.append(Peer(sock.accept()[0]))
+            for end in self.ends:
+                if end.sock.fileno() >= 0 and end.read().startswith(b"GET "):
+                    end.got = b""
+                    end.sock.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n{"x0":4}')
+                elif end.got.endswith(b"pay"):
+                    end.job, end.got = end.got, b""
+                    return end
+            return None
+
+        found = self.spin(job)
+        assert isinstance(found, Peer)
+        return found
+
+    def status(self, client: Peer) -> int:
+        self.spin(lambda: b"\r\n\r\n" in client.read() or client.closed)
+        return int(client.got.split()[1])
+
+
+class Serving(Story):
+    def test_a_job_passes_through_and_its_result_comes_back_on_connections_that_stay(self) -> None:
+        client = self.client()
+        for _ in range(2):
+            self.ask(peer=client)
+            server = self.dispatched()
+            head = server.job
+            self.assertTrue(head.startswith(b"POST /api?x=1 HTTP/1.1\r\n"))
+            for passed in (b"Req-Id: id-1", b"Idempotency-Key: k1", b"Content-Length: 3", b"\r\n\r\npay"):
+                self.assertIn(passed, head)
+            server.sock.sendall(STREAM)
+            server.say('{"id":"id-1","state":"started"}', '{"id":"id-1","state":"running","share":0.4}')
+            # A line in two pieces, and the result before the end of the message.
+            last = b'{"id":"id-1","state":"done","result":"paid \\u00e9","load":{"x0":2}}\n'
+            server.sock.sendall(b"%x\r\n%s" % (len(last), last[:9]))
+            self.rest(0.02)
+            server.sock.sendall(last[9:] + b"\r\n")
+            self.assertEqual(self.status(client), 200)
+            self.assertTrue(client.got.endswith("\r\n\r\npaid é".encode()))
+            server.sock.sendall(b"0\r\n\r\n")
+            self.rest(0.02)
+
+    def test_bad_input_is_told_apart_and_reaches_no_backend_server(self) -> None:
+        good = b"Req-Id: i\r\nReq-Kind: unsafe\r\nReq-Deadline: 1.0\r\n"
+        post = b"POST /api HTTP/1.1\r\nHost: o\r\n"
+        for text, status in (
+            (post + good.replace(b"unsafe", b"odd") + b"\r\n", 400),
+            (post + b"Req-Id: i\r\nReq-Deadline: 1\r\n\r\n", 400),
+            (post + good.replace(b"1.0", b"soon") + b"\r\n", 400),
+            (post + good.replace(b"1.0", b"-1") + b"\r\n", 400),
+            (post + good.replace(b"Req-Id: i\r\n", b"") + b"\r\n", 400),
+            (post + good.replace(b"unsafe", b"keyed") + b"\r\n", 400),
+            (b"\x00\x01 what\r\n\r\n", 400),
+            (post + good + b"Content-Length: 65537\r\n\r\n" + bytes(65537), 413),
+            (post + good + b"Transfer-Encoding: chunked\r\n\r\n" + b"8000\r\n%s\r\n" % bytes(32768) * 3, 413),
+            (b"POST /else HTTP/1.1\r\nHost: o\r\n\r\n", 404),
+            (b"GET /api HTTP/1.1\r\nHost: o\r\n\r\n", 405),
+        ):
+            client = self.client()
+            client.sock.settimeout(5)
+            client.sock.sendall(text)
+            client.sock.settimeout(0)
+            self.assertEqual(self.status(client), status, text[:90])
+        self.assertFalse(self.front._dispatcher._sessions)
+
+    def test_expect_is_answered_and_a_request_may_come_in_pieces(self) -> None:
+        client = self.client()
+        head = b"POST /api HTTP/1.1\r\nHost: o\r\nReq-Id: id-1\r\nReq-Kind: unsafe\r\nReq-Deadline: 9\r\n"
+        client.sock.sendall(head[:31])
+        self.rest(0.02)
+        client.sock.sendall(head[31:] + b"Expect: 100-continue\r\nContent-Length: 3\r\n\r\n")
+        self.assertEqual(self.status(client), 100)
+        client.sock.sendall(b"pay")
+        self.assertNotIn(b"xpect", self.dispatched().job)
+
+    def test_health_turns_good_with_the_watch_and_bad_with_a_drain(self) -> None:
+        for expected in (503, 200, 503):
+            client = self.client()
+            client.sock.sendall(b"GET /healthz HTTP/1.1\r\nHost: o\r\n\r\n")
+            self.assertEqual(self.status(client), expected)
+            if expected == 503:
+                self.watch.sock.sendall(STREAM)
+                self.watch.say(json.dumps(self.table(0, 1, rev=2)))
+                self.rest(0.05)
+            else:
+                self.front.drain()
+
+    def test_a_drain_still_accepts_then_closes_idle_clients_and_finishes_what_was_taken(self) -> None:
+        stopped = mock.Mock()
+        self.front._finished = stopped
+        idle = self.client()
+        taken = self.ask()
+        server = self.dispatched()
+        self.front.drain()
+        self.rest(0.3)
+        late = self.client()
+        late.sock.sendall(b"GET /healthz HTTP/1.1\r\nHost: o\r\n\r\n")
+        self.assertEqual(self.status(late), 503)
+        self.spin(lambda: idle.read() == b"" and idle.closed)
+        self.assertFalse(stopped.called)
+        server.sock.sendall(STREAM)
+        server.say('{"id":"id-1","state":"done","result":"ok"}')
+        self.assertEqual(self.status(taken), 200)
+        self.assertIn(b"connection: close", taken.got.lower())
+        taken.sock.close()
+        self.spin(lambda: stopped.called)
+
+
+class Failing(Story):
+    def test_each_word_of_a_backend_server_gets_the_ending_it_proves(self) -> None:
+        def last(state: str) -> bytes:
+            line = b'{"id":"id-1","state":"%s"}\n' % state.encode()
+            return STREAM + b"%x\r\n%s\r\n0\r\n\r\n" % (len(line), line)
+
+        empty = b"Content-Length: 0\r\n\r\n"
+        # A job that must not run twice: only a proof that it never ran lets it go out again.
+        for word, again in (
+            (b"HTTP/1.1 503 x\r\nSrv-Declined: 1\r\n" + empty, True),
+            (b"HTTP/1.1 504 x\r\nSrv-Declined: 1\r\n" + empty, True),
+            (last("returned"), True),
+            (b"HTTP/1.1 503 x\r\n" + empty, False),
+            (b'HTTP/1.1 500 x\r\nSrv-Load: {"x0":1}\r\n' + empty, False),
+            (last("failed"), False),
+            (last("lost"), False),
+            (STREAM, False),  # closed before the last line
+            (b"SMTP ready\r\n\r\n", False),
+            (STREAM + b"5\r\n{{{{\n\r\n", False),
+            (STREAM + b"4\r\nnull\r\n1\r\n\n\r\n", False),
+        ):
+            self.tearDown()
+            self.setUp()
+            client = self.ask()
+            server = self.dispatched()
+            server.sock.sendall(word)
+            server.sock.close()
+            if again:
+                self.dispatched()
+                self.assertEqual(client.read(), b"", word)
+            else:
+                self.assertEqual(self.status(client), 500, word)
+
+    def test_what_was_made_for_another_request_is_served_to_nobody(self) -> None:
+        client = self.ask()
+        server = self.dispatched()
+        server.sock.sendall(STREAM)
+        server.say('{"id":"id-2","state":"done","result":"not yours"}')
+        self.assertEqual(self.status(client), 500)
+        self.assertNotIn(b"not yours", client.got)
+
+    def test_a_silent_backend_server_costs_the_client_one_answer_in_time(self) -> None:
+        began = time.monotonic()
+        client = self.ask(wait="0.4")
+        self.dispatched()
+        self.assertEqual(self.status(client), 500)  # it may have run: no refusal
+        self.assertGreater(time.monotonic() - began, 0.3)
+        self.rest(0.1)
+        self.assertEqual(client.read().count(b"HTTP/1.1"), 1)
+
+    def test_a_refused_connection_proves_that_nothing_ran(self) -> None:
+        live = json.dumps(self.table(2, rev=2))
+        for _ in range(2):
+            self.servers.pop(0).close()
+        client = self.ask()
+        self.rest(0.1)
+        self.assertEqual(client.read(), b"")  # not failed: the decisions still look for a server
+        self.watch.sock.sendall(STREAM)
+        self.watch.say(live)
+        self.dispatched()
+
+    def test_a_client_that_leaves_ends_its_dispatch(self) -> None:
+        client = self.ask()
+        server = self.dispatched()
+        client.sock.close()
+        self.spin(lambda: server.read() == b"" and server.closed)
+        self.assertFalse(self.front._dispatcher._sessions)
+
+    def test_a_refusal_says_when_to_come_back(self) -> None:
+        self.watch.sock.sendall(STREAM)
+        self.watch.say(json.dumps(self.table(rev=2)))  # nobody left
+        self.rest(0.05)
+        client = self.ask(wait="0.2")
+        self.assertEqual(self.status(client), 503)
+
+    def test_an_unexpected_error_ends_its_coroutine_alone(self) -> None:
+        with mock.patch("heronstall.net.backend.Dispatch._line", side_effect=RuntimeError("bug")):
+            client = self.ask()
+            server = self.dispatched()
+            server.sock.sendall(STREAM)
+            server.say("{}")
+            self.assertEqual(self.status(client), 500)
+        with mock.patch("heronstall.net.frontend.Frontend._arrival", side_effect=RuntimeError("bug")):
+            broken = self.ask()
+            self.spin(lambda: broken.read() == b"" and broken.closed)
+        self.ask()
+        self.dispatched()
+
+
+class Connections(Story):
+    sockets = 64  # 12 on either side
+
+    def test_a_full_house_closes_the_longest_idle_client_first(self) -> None:
+        idle = [self.client() for _ in range(12)]
+        self.spin(lambda: len(self.front._clients) == 12)
+        self.ask()
+        self.dispatched()
+        self.spin(lambda: idle[0].read() == b"" and idle[0].closed)
+        self.assertFalse(any(peer.read() or peer.closed for peer in idle[1:]))
+
+    def test_accept_survives_running_out_of_descriptors(self) -> None:
+        failing = mock.Mock(wraps=self.front._listener)
+        failing.accept.side_effect = OSError(24, "EMFILE")
+        with mock.patch.object(self.front, "_listener", failing):
+            client = self.ask()
+            self.rest(0.1)
+            self.assertLess(failing.accept.call_count, 30)  # it pauses rather than spins
+        self.dispatched()
+        self.assertEqual(client.read(), b"")
+
+    def pool(self, server: BackendServer) -> tuple[Pool, Callable[[], Any]]:
+        pool = Pool(self.loop, configuration(self.raw), 4)
+
+        def take() -> Any:
+            taken: list[Any] = []
+
+            def run() -> Coroutine[None]:
+                try:
+                    taken.append((yield from pool.take(server, self.loop.now + 1_000_000)))
+                except Ended as ended:
+                    taken.append(ended.ending)
+
+            self.loop.spawn(run(), "take")
+            return self.spin(lambda: taken)[0]
+
+        return pool, take
+
+    def test_idle_connections_are_retired_before_the_far_end_does_and_checked_for_its_close(self) -> None:
+        server = BackendServer(1, "s", self.servers[2].getsockname(), 0)
+        pool, take = self.pool(server)
+        first = take()
+        far = self.accept(self.servers[2])
+        first.idle_since = self.loop.now
+        pool._idle[1] = [first]
+        self.assertIs(take(), first)
+        pool._idle[1] = [first]
+        far.sock.close()
+        self.assertIsNot(take(), first)
+        fresh = take()
+        fresh.idle_since = self.loop.now
+        pool._idle[1] = [fresh]
+        self.rest(1.2)  # keepalive is 1 s
+        self.assertEqual(pool._idle, {})
+
+    def test_nothing_is_first_written_to_a_server_long_told_off(self) -> None:
+        server = BackendServer(1, "s", self.servers[2].getsockname(), 0)
+        _, take = self.pool(server)
+        server.off_since = self.loop.now  # told just now: the grace lasts
+        self.assertIsInstance(take(), Connection)
+        server.off_since = self.loop.now - 2_000_000
+        self.assertIs(take(), Ending.WITHDRAWN)
+
+
+class Discovery(Story):
+    def test_the_watch_survives_heartbeats_pieces_breaks_and_nonsense(self) -> None:
+        self.spin(lambda: self.watch.read().endswith(b"\r\n\r\n"))
+        self.assertIn(b"GET /v1/servers?watch=1&after=1 ", self.watch.got)
+        self.watch.sock.sendall(STREAM + b"1\r\n\n\r\n")
+        line = json.dumps(self.table(2, rev=7, whole=False)) + "\n"
+        self.watch.sock.sendall(b"%x\r\n%s" % (len(line), line[:20].encode()))
+        self.rest(0.02)
+        self.watch.sock.sendall(line[20:].encode() + b"\r\n")
+        table = self.front._dispatcher.table
+        self.spin(lambda: len(table.by_number) == 3)
+        self.watch.sock.close()
+        again = self.accept(self.discovery)
+        self.spin(lambda: b"after=7 " in again.read())
+        again.sock.sendall(STREAM + b'8\r\n{"rev":\n\r\n')
+        whole = self.accept(self.discovery)  # after nonsense, the whole list is asked for
+        self.spin(lambda: b"watch=1 " in whole.read())
+        self.assertEqual(len(table.by_number), 3)
+        whole.sock.sendall(STREAM)
+        whole.say(json.dumps(self.table(1, rev=9)))
+        self.spin(lambda: sum(s.off_since is None for s in table.by_number.values()) == 1)
+        self.ask()
+        self.servers = [self.servers[1]]
+        self.dispatched()
+
+    def test_one_uid_may_come_back_at_another_address(self) -> None:
+        server = next(s for s in self.front._dispatcher.table.by_number.values() if s.uid == "s-0")
+        moved = self.table(0, rev=2, whole=False)
+        moved["targets"][0] |= {"endpoint": at(self.servers[2]), "boot_ms": int(time.time() * 1000)}
+        self.watch.sock.sendall(STREAM)
+        self.watch.say(json.dumps(moved))
+        self.spin(lambda: server.endpoint == self.servers[2].getsockname())
+        worker = self.front._dispatcher._balancer._workers[server.number]
+        self.assertLess(
+            abs(worker.started_at - self.loop.now), 60_000_000
+        )  # Unix time on the program's clock
+
+
+class Parts(unittest.TestCase):
+    def test_an_event_of_a_closed_descriptor_never_reaches_the_next_owner_of_its_number(self) -> None:
+        loop, seen = Loop(), []
+        (a, far_a), (b, far_b) = socket.socketpair(), socket.socketpair()
+
+        def reader(name: str, sock: socket.socket, other: socket.socket) -> Coroutine[None]:
+            got = yield sock.fileno(), READ, None
+            seen.append(name)
+            if (
+                got and other.fileno() >= 0
+            ):  # the first to run closes the other, whose event is in the same batch
+                loop.close(other)
+                opened = socket.socketpair()
+                for end in opened:
+                    self.addCleanup(end.close)
+                self.assertNotIn(other.fileno(), [s.fileno() for s in opened])
+
+        loop.spawn(reader("a", a, b), "a")
+        loop.spawn(reader("b", b, a), "b")
+        loop.turn(0)
+        far_a.send(b"x")
+        far_b.send(b"x")
+        loop.turn(1)
+        self.assertEqual(len(seen), 1)
+        for sock in (a, b, far_a, far_b):
+            sock.close()
+
+    def test_the_buffer_grows_and_is_compacted_in_place(self) -> None:
+        near, far = socket.socketpair()
+        near.settimeout(0)
+        buffer, parser, sent = Buffer(), mock.Mock(), os.urandom(50_000)
+        taken = bytearray()
+        parser.receive_data.side_effect = lambda part: taken.extend(part)
+        far.sendall(sent)
+        while len(taken) + len(buffer) < len(sent):
+            buffer.fill(near)
+            if len(buffer) > 20_000:
+                buffer.feed(parser)
+        while len(buffer):
+            buffer.feed(parser)
+        self.assertEqual(bytes(taken), sent)
+        near.close()
+        far.close()
+
+    def test_an_endless_line_ends_its_connection(self) -> None:
+        lines = Lines(10)
+        self.assertEqual(lines.feed(b"ab\n\ncd"), [b"ab"])
+        self.assertEqual(lines.feed(b"ef\n"), [b"cdef"])
+        with self.assertRaises(Ended):
+            lines.feed(b"x" * 11)
+
+    def test_reports_go_by_the_names_that_the_settings_give_and_by_those_on_the_sockets(self) -> None:
+        slots = configuration(raw_config()).report_slots
+        for told in (
+            {"inflight": 7, "util": 0.6, "x0": 2},
+            {"busy_reqs": 7, "cpu_share": 0.6, "x0": 2, "new": 1},
+        ):
+            report = read_report(slots, told)
+            assert report is not None
+            self.assertEqual((report.inflight, report.util, report.free_slots), (7.0, 0.6, 2.0))
+        for absurd in ({"x0": -1}, {"x0": "2"}, {"x0": True}, {}, [2], None):
+            self.assertIsNone(read_report(slots, absurd))
+
+    def test_a_wrong_configuration_names_its_key_and_ends_with_2(self) -> None:
+        for changes, key in (
+            ({"listen": "nowhere"}, "listen"),
+            ({"seed": "xyz"}, "seed"),
+            ({"settings": None}, "settings"),
+            ({"limits": {"sockets": "many"}}, "limits.sockets"),
+            ({"settings": {**SETTINGS, "tick": 0}}, "settings.tick"),
+            (
+                {"settings": {**SETTINGS, "services": [{"name": "x", "aim": 1}]}},
+                "settings.services[0].deadline",
+            ),
+            ({"settings": {**SETTINGS, "rules": {"coldFrom": 2}}}, "settings.rules.coldFrom"),
+        ):
+            with self.assertRaises(ConfigError) as caught:
+                configuration(raw_config(**changes))
+            self.assertTrue(str(caught.exception).startswith(f"{key}:"), str(caught.exception))
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            file.write(json.dumps(raw_config(listen="x")))
+            file.flush()
+            ran = subprocess.run(
+                [sys.executable, "-m", "heronstall"],
+                cwd=ROOT,
+                env={**os.environ, "NODE_CONFIG": file.name},
+                capture_output=True,
+                text=True,
+                timeout=60,
+            )
+        self.assertEqual(ran.returncode, 2)
+        self.assertIn("listen", ran.stderr)
