--- a/heronstall/decide.py
+++ b/heronstall/decide.py
@@ -181,7 +181,7 @@
             if job.done or job.streaming:
                 continue
             if attempt is None:
-                self._finish(job)
+                self._finish(now, job)
             else:
                 self._watch(now, attempt)
         if now >= self._pace_at:
@@ -227,7 +227,7 @@
             return
         fits = (c.kind in (-1, w.entry.kind) and not 0 < w.largest < job.slots for w in self._active)
         if self._active and not any(fits):
-            self._finish(job)  # no wait can help
+            self._finish(now, job)  # no wait can help
             return
         urgent = not self._deferrable[e.cls] and not job.yields
         worker = self._pick(now, job) if urgent else None
@@ -386,7 +386,7 @@
             if worker is not None:
                 self._send(now, job, worker)
             elif closed or job.late:
-                self._finish(job)
+                self._finish(now, job)
             else:
                 self._lost(now, job)
 
@@ -395,7 +395,7 @@
         if not job.yields:
             self._short_until = now + SHORT_FOR
         if self._set.classes[job.cls].late_worth <= 0 and self._may_refuse(job):
-            self._finish(job)
+            self._finish(now, job)
             return
         job.late = True
         job.yields = max(1, job.yields)
@@ -564,9 +564,10 @@
             return True
         return c.effect == "keyed" and now < anchor.sent + c.repeat_window - 2 * self._set.tick
 
-    def _finish(self, job: _Job) -> None:
-        """The final answer: a refusal where that claim is allowed, else a failure."""
-        self._out.append(i.Refuse(job.id) if self._may_refuse(job) else i.Fail(job.id))
+    def _finish(self, now: int, job: _Job) -> None:
+        """The final answer, at once: a refusal where that claim is allowed, else a failure."""
+        refuse = self._may_refuse(job)
+        self._out.append(i.Refuse(job.id, self._come_back(now)) if refuse else i.Fail(job.id))
         self._end(job)
 
     def _end(self, job: _Job) -> None:
@@ -579,11 +580,24 @@
                 if a.out and not a.cancelled:
                     self._cancel(a)
 
+    def _come_back(self, now: int) -> int:
+        """How long a refused client had best wait: until what waits here has had its turn, as far as known.
+
+        Jobs waiting here run at this node's even part of the slots that have not been ejected; where every
+        worker is, until the first of them is tried again.
+        """
+        up = [w for w in self._active if w.ejected_until <= now]
+        wait = min((w.ejected_until - now for w in self._active), default=self._set.max_retry_after)
+        if up:
+            slots = sum(w.size or 1.0 for w in up) / self._set.nodes
+            wait = int(self._mean_run * (1 + len(self._queue)) / slots)
+        return max(0, min(wait, self._set.max_retry_after))
+
     def _again(self, now: int, job: _Job, status: str) -> None:
         """No attempt is out and none served: try again where that is allowed, else answer."""
         budget = self._moves if status == "cancelled" else self._retries
         if not self._may_send(now, job) or (status != "no_connection" and not budget.take(now)):
-            self._finish(job)
+            self._finish(now, job)
         elif status == "cancelled" and not job.late and now > self._latest(job):
             self._lost(now, job)
         else:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -13,6 +13,7 @@
     Outcome,
     Probe,
     ProbeResult,
+    Refuse,
     Report,
     RequestClass,
     Send,
@@ -689,3 +690,23 @@
         w.request(n, 0, work=50 * MS)
         assert all(a.worker in (3, 4) for a in w.sends())
         w.outcome(n, "ok")
+
+
+def refusal(w: World) -> Refuse:
+    """The refusal of one more job that nobody can take in its time."""
+    seen = w.request(900 + len(w.clients), 1, time_left=20 * MS) + w.run(60 * MS)
+    return next(a for a in seen if isinstance(a, Refuse))
+
+
+def test_a_refusal_says_when_room_may_be_had_again() -> None:
+    w = World(make_settings(max_retry_after=10 * S))
+    assert refusal(w).retry_after == 10 * S  # nobody is listed: as long as a client will wait
+    w.fleet(*workers(2))
+    w.report(1, 2, free=4.0)
+    w.report(1, 2, free=0.0)
+    idle = refusal(w).retry_after
+    assert 0 < idle < 2 * S
+    for n in range(10):
+        w.request(n, 1)
+    assert idle < refusal(w).retry_after <= 10 * S  # what waits here comes first
+    assert refusal(World()).retry_after == 0  # a site that gives clients no such advice
