Ignore blank first reports and stop a stuck job from spinning the node

Checked with a trace of every Balancer.handle: (1) probes made before the first load came back with x0=0, inflight=0, util=0, a worker that has not measured yet; decide.py _report took each for full, so the mean of free slots began at 0 and jobs waited until refused. Ruled out: lost or late probes (all answered within 33 ms), connects, refused connections.

--- a/heronstall/decide.py
+++ b/heronstall/decide.py
@@ -191,7 +191,8 @@
         self._release(now)
         wake = min(self._pace_at, self._timers[0][0]) if self._timers else self._pace_at
         if self._stuck is not None and self._searching_since is not None:
-            wake = min(wake, max(self._search_at, now + 1))
+            # A tick on at the least: the stuck job may be none that the search is for, its moment long past.
+            wake = min(wake, max(self._search_at, now + self._set.tick))
         if not now < self._wake_at <= wake:
             self._wake_at = max(wake, now + 1)
             self._out.append(i.WakeAt(self._wake_at))
@@ -309,6 +310,8 @@
                 self._report(now, worker, e.report)
 
     def _report(self, now: int, worker: _Worker, r: i.Report) -> None:
+        if r.free_slots == 0 and r.inflight == 0 and r.util == 0:
+            return  # nothing in hand, yet nothing free: a worker that has not measured yet is not full
         worker.reported_at = self._heard_at = now
         if r.util is not None:
             worker.util = min(r.util, 1.0)
--- a/heronstall/net/dispatcher.py
+++ b/heronstall/net/dispatcher.py
@@ -131,6 +131,7 @@
 
     def _turn(self) -> None:
         events, self._events = self._events, []
+        self._counts["turns"] += 1
         for action in self._balancer.handle(self._loop.now, events):
             if isinstance(action, i.Send):
                 self._send(action)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -710,3 +710,27 @@
         w.request(n, 1)
     assert idle < refusal(w).retry_after <= 10 * S  # what waits here comes first
     assert refusal(World()).retry_after == 0  # a site that gives clients no such advice
+
+
+def test_a_report_from_before_the_first_measurement_does_not_make_a_worker_full() -> None:
+    w = World()
+    w.fleet(*workers(3))
+    blank = Report(util=0.0, inflight=0.0, free_slots=0.0)
+    w.step(*(ProbeResult(n, True, 1000, blank) for n in (1, 2, 3)))
+    w.request(1, 1)
+    assert len(w.sends()) == 1
+
+
+def test_a_stuck_job_does_not_keep_the_node_awake() -> None:
+    w = World()
+    w.fleet(*workers(2))
+    w.report(1, 2, free=4.0)
+    w.report(1, 2, free=0.0)
+    w.request(1, 1)  # searches for room
+    w.request(2, 2, work=10 * MS, time_left=200 * MS)  # is due first, and is none to search for
+    steps, began = 0, w.now
+    while w.now < began + 400 * MS and steps < 1000:
+        w.now = max(w.now, min(w.wakes))  # a host whose clock has no ticks
+        w.step()
+        steps += 1
+    assert steps < 120
