--- a/heronstall/net/dispatcher.py
+++ b/heronstall/net/dispatcher.py
@@ -98,7 +98,7 @@
     def client_gone(self, session: Session) -> None:
         """The client left, or its answer can't be given any more."""
         if not session.over:
-            self._counts["gone"] += 1
+            self._counts["answer.gone"] += 1
             session.over = True
             self.post(i.ClientGone(session.number))
             self._forget(session)
@@ -118,10 +118,10 @@
         result: bytes,
     ) -> None:
         """The one end of a dispatch: it becomes one Outcome, and a result goes straight to the client."""
-        self._counts[ending.name.lower()] += 1
+        self._counts[f"ending.{ending.name.lower()}"] += 1
         session.open = None
         if ending is Ending.SERVED:
-            self._answer(session, Answer("served", result))
+            self._answer(session.number, Answer("served", result))
         self.post(
             i.Outcome(session.number, server.number, index, session.over, OUTCOME[ending], latency, report)
         )
@@ -133,33 +133,34 @@
         events, self._events = self._events, []
         self._counts["turns"] += 1
         for action in self._balancer.handle(self._loop.now, events):
-            if isinstance(action, i.Send):
-                self._send(action)
-            elif isinstance(action, i.Cancel):
-                session = self._sessions.get(action.request)
-                if (
-                    session is not None
-                    and session.open is not None
-                    and action.attempt == session.attempts - 1
-                ):
-                    session.open.cancel()
-            elif isinstance(action, (i.Refuse, i.Fail)):
-                session = self._sessions.get(action.request)
-                if session is not None:
-                    refused = isinstance(action, i.Refuse)
-                    wait = action.retry_after if isinstance(action, i.Refuse) else 0
-                    self._answer(session, Answer("refused" if refused else "failed", b"", wait))
-            elif isinstance(action, i.WakeAt):
-                if self._timer is not None:
-                    self._timer.cancel()
-                self._timer = self._loop.at(action.at, lambda mark=action.mark: self.post(i.Timer(mark)))  # type: ignore[misc]
-            elif isinstance(action, i.Probe):
-                server = self.table.by_number.get(action.worker)
-                if server is not None:
-                    self.backend.probe(server)
-            elif isinstance(action, i.Log):
-                log.info("decisions: %s", action.text)
-            # Subscribe: the watch is always on.
+            try:
+                self._carry_out(action)
+            except Exception:  # guards the actions behind it: each belongs to some other session
+                log.exception("unexpected error in carrying out %s", action)
+
+    def _carry_out(self, action: i.Action) -> None:
+        if isinstance(action, i.Send):
+            self._send(action)
+        elif isinstance(action, i.Cancel):
+            session = self._sessions.get(action.request)
+            if session is not None and session.open is not None and action.attempt == session.attempts - 1:
+                session.open.cancel()
+        elif isinstance(action, i.Refuse):
+            self._answer(action.request, Answer("refused", retry_after=action.retry_after))
+        elif isinstance(action, i.Fail):
+            self._answer(action.request, Answer("failed"))
+        elif isinstance(action, i.WakeAt):
+            if self._timer is not None:
+                self._timer.cancel()
+            mark = action.mark
+            self._timer = self._loop.at(action.at, lambda: self.post(i.Timer(mark)))
+        elif isinstance(action, i.Probe):
+            server = self.table.by_number.get(action.worker)
+            if server is not None:
+                self.backend.probe(server)
+        elif isinstance(action, i.Log):
+            log.info("decisions: %s", action.text)
+        # Subscribe: the watch is always on.
 
     def _send(self, action: i.Send) -> None:
         session = self._sessions.get(action.request)
@@ -180,10 +181,11 @@
         session.open = dispatch = self.backend.dispatch(session, server, index, until)
         dispatch.start()
 
-    def _answer(self, session: Session, answer: Answer) -> None:
-        if not session.over:
+    def _answer(self, number: int, answer: Answer) -> None:
+        session = self._sessions.get(number)
+        if session is not None and not session.over:
             session.over = True
-            self._counts[answer.kind] += 1
+            self._counts[f"answer.{answer.kind}"] += 1
             session.reply(answer)
             self._forget(session)
 
