--- a/heronstall/__init__.py
+++ b/heronstall/__init__.py
@@ -1,4 +1,4 @@
-"""heronstall: the decisions of a dispatcher beside each submitter that pushes jobs to workers."""
+"""heronstall: a job dispatcher beside each client process, and its decisions as a module."""
 
 from heronstall.decide import Balancer
 from heronstall.interface import Settings
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -37,7 +37,12 @@
     "areas": ["a", "b"],
     "flavors": ["m"],
     "loadReport": {"fields": ["busy_reqs", "cpu_share", "x0"], "via": "piggyback"},
-    "policyLimits": {**CONFIG["policyLimits"], "connectTimeout": 200_000, "keepalive": 1_000_000},
+    "policyLimits": {
+        **CONFIG["policyLimits"],
+        "connectTimeout": 200_000,
+        "keepalive": 1_000_000,
+        "maxRetryAfter": 1_500_000,
+    },
     "services": [
         {"name": "unsafe", "aim": 1_000_000, "deadline": 9_000_000, "effect": "unsafe"},
         {
@@ -365,6 +370,7 @@
         self.rest(0.05)
         client = self.ask(wait="0.2")
         self.assertEqual(self.status(client), 503)
+        self.assertIn(b"retry-after: 1.500\r\n", client.got.lower())
 
     def test_an_unexpected_error_ends_its_coroutine_alone(self) -> None:
         with mock.patch("heronstall.net.backend.Dispatch._line", side_effect=RuntimeError("bug")):
