Reject unclear requests at the frontend and give up unproven connections first

Cause: h11 lets Transfer-Encoding win over Content-Length and folds equal lengths, so a hidden request passed (frontend `_read`); an open session's id, and repeated headers, passed (`_arrival`). Each such request came back as 400, became `error` and ejected a healthy server (`Dispatch._answer`, `_health`), so usual requests waited and held their connections. A connection had 120 s in silence and 10 s for a request; `_linger`, `_accept` and a pipeline had no bound for a turn of the loop.

Ruled out: CPU (0.33 s in the busiest second of 0.85), memory (15 of 80 MB) and descriptors (239 of 384).

Found by a story: a burst of new connections pushed out the usual idle ones before it had been read once; accepting now waits a turn before it gives anybody up.

--- a/heronstall/net/connection.py
+++ b/heronstall/net/connection.py
@@ -16,6 +16,7 @@
 FIRST_SIZE, FEED = 4096, 16 * 1024
 BODY_LIMIT = 64 * 1024
 HEAD_LIMIT = 16 * 1024
+TURN_SHARE = 64 * 1024  # bytes that one connection may bring in one turn of the loop
 
 
 class Ending(enum.Enum):
@@ -111,12 +112,16 @@
         self.parser = h11.Connection(role, max_incomplete_event_size=HEAD_LIMIT)
         self.buffer = Buffer()
         self.ended = False  # the far end will send nothing more
-        self.idle_since = loop.now
+        self.head = b""  # a server's: the raw bytes that the last request's head was read from
+        self.idle_since = self._turn = loop.now
+        self._spent = 0  # bytes in the turn that began then
 
     def event(self, until: int | None) -> Coroutine[Any]:
         """The next h11 event. Raises Ended when none comes in time, or connection or bytes are bad."""
         while True:
             try:
+                if self.parser.our_role is h11.SERVER and self.parser.their_state is h11.IDLE:
+                    self.head = self.parser.trailing_data[0]
                 event = self.parser.next_event()
             except h11.RemoteProtocolError as error:
                 broken = self.ended and not len(self.buffer)
@@ -127,19 +132,39 @@
 
     def more(self, until: int | None) -> Coroutine[None]:
         """Bring more bytes, or the end of the stream, to the parser."""
+        yield from self.pace(until)
         while not len(self.buffer):
             try:
-                if not self.buffer.fill(self.sock):
-                    self.ended = True
-                    self.parser.receive_data(b"")
-                    return
+                got = self.buffer.fill(self.sock)
             except BlockingIOError:
                 if not (yield self.sock.fileno(), READ, until):
                     raise Ended(Ending.TIMED_OUT) from None
             except OSError as error:
                 raise Ended(Ending.BROKEN, str(error)) from None
+            else:
+                self.spend(got)
+                if not got:
+                    self.ended = True
+                    self.parser.receive_data(b"")
+                    return
         self.buffer.feed(self.parser)
 
+    def spend(self, amount: int) -> None:
+        """Count bytes, or work as dear as so many bytes, against this turn's share."""
+        if self._turn != self.loop.now:
+            self._turn, self._spent = self.loop.now, 0
+        self._spent += amount
+
+    def pace(self, until: int | None = None) -> Coroutine[None]:
+        """Go on in the next turn of the loop if this turn's share is spent.
+
+        Guards everybody else, and `loop.now`, against a far end that sends as fast as it is read.
+        """
+        if self._turn == self.loop.now and self._spent >= TURN_SHARE:
+            if until is not None and self.loop.now >= until:
+                raise Ended(Ending.TIMED_OUT)
+            yield -1, 0, self.loop.now + 1
+
     def write(self, data: bytes, until: int | None) -> Coroutine[None]:
         """Write all of it. Raises Ended UNSENT or UNSENT_IN_TIME if that cannot be."""
         with memoryview(data) as view:
--- a/heronstall/net/frontend.py
+++ b/heronstall/net/frontend.py
@@ -7,6 +7,7 @@
 import socket
 from collections.abc import Callable
 from http import HTTPStatus
+from itertools import islice
 from typing import Any
 
 import h11
@@ -20,12 +21,24 @@
 
 BACKLOG = 1024
 IDLE_TIME = 120_000_000  # a client's connection without a request
-REQUEST_TIME = 10_000_000  # from a request's first byte to its last
+# From a request's first byte to its last, and for a connection that has yet to bring one that can be used.
+# A usual client writes a request in one go; one that cannot be read is owed its error or close within 3 s.
+REQUEST_TIME = 2_000_000
 WRITE_TIME = 10_000_000  # for a client to read its answer
 LINGER_TIME = 1_000_000
 ACCEPT_PAUSE = 20_000
+ACCEPTS = 32  # in one turn of the loop: those served must not wait for a flood of new ones
+PARSING = 4096  # a request's own work, in bytes: so many small ones make up a connection's share of a turn
+CANDIDATES = 8  # connections looked at when one is to be given up
+IDS_KEPT = 8192
+SCRAP = bytearray(64 * 1024)  # what is read only to be thrown away
 DRAIN_TIME = 750_000  # clients find their way to the others meanwhile
 PATH, HEALTH = b"/api", b"/healthz"
+# Twice the same of these and two readers may each believe another one: such a request is passed to nobody.
+ONCE = re.compile(rb"(content-length|transfer-encoding|cookie|idempotency-key|expect|req-[a-z-]+)\Z")
+LENGTH = re.compile(rb"^content-length[ \t]*:([^\r\n]*)", re.IGNORECASE | re.MULTILINE)
+HEAD_END = re.compile(rb"\n\r?\n")
+ID = re.compile(rb"[!-~]{1,128}\Z")
 DEADLINE = re.compile(rb"[0-9]{1,7}(\.[0-9]*)?\Z")
 # Framing and hop-by-hop headers are ours to set; everything else passes through.
 OWN = frozenset(
@@ -37,6 +50,9 @@
 log = logging.getLogger("heronstall.frontend")
 
 
+Incoming = tuple[h11.Request, "i.Arrival | None", bytes]
+
+
 class BadRequest(Exception):
     """Input that never reaches a backend server."""
 
@@ -54,8 +70,15 @@
         self._config, self._loop, self._dispatcher = config, loop, dispatcher
         self._ready, self._limit = ready, limit
         self._clients: dict[Connection, Task] = {}
-        self._idle: dict[Connection, None] = {}  # those between requests, longest first
-        self._draining = self._closing = False
+        # In the order in which they are given up when room is wanted, each the longest waiting first: those
+        # that are answered and only to be closed; those that have never brought a request that can be used,
+        # or hold a part of one, or had an error last; those between requests.
+        self._lingering: dict[Connection, None] = {}
+        self._unproven: dict[Connection, None] = {}
+        self._idle: dict[Connection, None] = {}
+        self._ids: dict[bytes, None] = {}  # of the latest requests, so that none is taken for another
+        self._draining = self._closing = self._deaf = False
+        self._deaf_at = 0  # when new connections are taken no more at the latest, once closing
         self._finished: Callable[[], None] = loop.stop
         host, port = config.listen
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
@@ -68,25 +91,36 @@
     # ------------------------------------------------------------------ connections
 
     def _accept(self) -> Coroutine[None]:
-        while True:
-            if len(self._clients) >= self._limit and not self._idle:
+        taken = 0  # in this turn of the loop
+        while not self._deaf_at or self._loop.now < self._deaf_at:
+            full = len(self._clients) > self._limit
+            if taken and (full or taken >= ACCEPTS):  # those just taken are read before any is given up
+                taken = 0
+                yield from sleep(self._loop.now + 1)
+                continue
+            if full and not self._make_room():
                 yield from sleep(self._loop.now + ACCEPT_PAUSE)  # the backlog holds them until one ends
                 continue
             try:
                 sock, _ = self._listener.accept()
             except BlockingIOError:
+                if self._closing:
+                    break  # whoever the kernel had accepted gets an answer
+                taken = 0
                 yield self._listener.fileno(), READ, None
             except ConnectionAbortedError:
                 continue
             except OSError as error:
                 # Guards against spinning when descriptors run out (EMFILE): the backlog keeps the clients.
                 log.warning("cannot accept: %s", error)
-                self._close_idlest()
+                self._make_room()
                 yield from sleep(self._loop.now + ACCEPT_PAUSE)
             else:
-                if len(self._clients) >= self._limit:
-                    self._close_idlest()
+                taken += 1
                 self._admit(sock)
+        self._loop.close(self._listener)
+        self._deaf = True
+        self._ended(None)
 
     def _admit(self, sock: socket.socket) -> None:
         sock.setblocking(False)
@@ -94,10 +128,21 @@
         connection = Connection(self._loop, sock, h11.SERVER)
         self._clients[connection] = self._loop.spawn(self._serve(connection), "session")
 
-    def _close_idlest(self) -> bool:
-        return any(self._close_if_idle(connection) for connection in list(self._idle))
+    def _make_room(self) -> bool:
+        """Close the connection that will be missed least; False where none can be spared.
 
-    def _close_if_idle(self, connection: Connection) -> bool:
+        Guards the usual clients: connections that say nothing, or never finish a request, must not keep
+        them waiting in the backlog, nor cost them the connections that they keep.
+        """
+        for connection in self._lingering:
+            self._clients[connection].kill()
+            return True
+        for row in (self._unproven, self._idle):
+            if any(self._close_if_quiet(connection) for connection in list(islice(row, CANDIDATES))):
+                return True
+        return False
+
+    def _close_if_quiet(self, connection: Connection) -> bool:
         if not connection.fresh():  # a request is there already, or the client's own close
             return False
         self._clients[connection].kill()
@@ -111,37 +156,46 @@
 
     def _close_up(self) -> None:
         self._closing = True
-        self._accepting.step(0)  # whoever the kernel has accepted gets an answer
-        self._accepting.kill()
-        self._loop.close(self._listener)
-        for connection in list(self._idle):
-            self._close_if_idle(connection)
-        self._ended(None)
+        self._deaf_at = self._loop.now + DRAIN_TIME
+        for connection in [*self._idle, *self._unproven]:
+            self._close_if_quiet(connection)
+        self._accepting.step(0)
 
     def _ended(self, connection: Connection | None) -> None:
         if connection is not None:
-            self._clients.pop(connection, None)
-            self._idle.pop(connection, None)
+            for row in (self._clients, self._lingering, self._unproven, self._idle):
+                row.pop(connection, None)
             connection.close()
-        if self._closing and not self._clients:
+        if self._deaf and not self._clients:
             self._loop.soon(self._finished)
 
     # ------------------------------------------------------------------ sessions
 
     def _serve(self, connection: Connection) -> Coroutine[None]:
         parser = connection.parser
+        proven = False  # its last request for the backend servers was one that could be used
+        until = self._loop.now + REQUEST_TIME  # for one that has yet to prove itself, mute or not
         try:
             while True:
+                connection.spend(PARSING)
+                yield from connection.pace()
                 if not len(connection.buffer) and not parser.trailing_data[0]:
-                    self._idle[connection] = None
-                    yield from connection.more(self._loop.now + IDLE_TIME)
-                    self._idle.pop(connection, None)
+                    row = self._idle if proven else self._unproven
+                    row[connection] = None
+                    yield from connection.more(self._loop.now + IDLE_TIME if proven else until)
+                    row.pop(connection, None)
+                if proven:
+                    until = self._loop.now + REQUEST_TIME
+                self._unproven[connection] = None
                 try:
-                    read = yield from self._read(connection, self._loop.now + REQUEST_TIME)
+                    read = yield from self._read(connection, until)
                     if read is None:
                         return
-                    yield from self._exchange(connection, *read)
+                    self._unproven.pop(connection, None)
+                    proven = (yield from self._exchange(connection, *read)) or proven
                 except BadRequest as bad:
+                    proven, until = False, self._loop.now + REQUEST_TIME
+                    self._unproven[connection] = None
                     yield from self._say(connection, bad.status, [TEXT], f"{bad}\n".encode())
                 if parser.our_state is not h11.DONE or parser.their_state is not h11.DONE:
                     yield from self._linger(connection)
@@ -152,27 +206,39 @@
         finally:
             self._ended(connection)
 
-    def _read(self, connection: Connection, until: int) -> Coroutine[tuple[h11.Request, bytes] | None]:
+    def _read(self, connection: Connection, until: int) -> Coroutine[Incoming | None]:
         """One whole request; None when the client has closed between requests."""
         request: h11.Request | None = None
-        body = bytearray()
+        arrival: i.Arrival | None = None
+        wrong: BadRequest | None = None
+        body, size = bytearray(), 0
         try:
             while True:
                 event = yield from connection.event(until)
                 if isinstance(event, h11.Request):
                     request = event
-                    length = dict(event.headers).get(b"content-length", b"0")
-                    if len(length) > 9 or int(length) > BODY_LIMIT:
-                        raise BadRequest(413, "body over 64 KiB")
+                    _framing(connection.head, event)
+                    try:
+                        arrival = self._check(event)
+                    except BadRequest as bad:
+                        wrong = bad
                     if connection.parser.they_are_waiting_for_100_continue:
+                        if wrong is not None:
+                            raise wrong
                         go_on = h11.InformationalResponse(status_code=100, headers=[])
                         yield from connection.write(connection.parser.send(go_on) or b"", until)
                 elif isinstance(event, h11.Data):
-                    body += event.data
-                    if len(body) > BODY_LIMIT:
+                    size += len(event.data)
+                    if size > BODY_LIMIT:
                         raise BadRequest(413, "body over 64 KiB")
+                    # What is wrong with a head is said after its body, so that the connection can stay:
+                    # one that asks wrongly again at once is cheaper so than with a new one each time.
+                    if wrong is None:
+                        body += event.data
                 elif isinstance(event, h11.EndOfMessage) and request is not None:
-                    return request, bytes(body)
+                    if wrong is not None:
+                        raise wrong
+                    return request, arrival, bytes(body)
                 else:
                     return None
         except Ended as ended:
@@ -182,21 +248,17 @@
                 raise BadRequest(408, "the request did not come whole in time") from None
             raise
 
-    def _exchange(self, connection: Connection, request: h11.Request, body: bytes) -> Coroutine[None]:
-        path = request.target.partition(b"?")[0]
-        if path == HEALTH:
-            if request.method != b"GET":
-                raise BadRequest(405, "GET only")
+    def _exchange(
+        self, connection: Connection, request: h11.Request, arrival: i.Arrival | None, body: bytes
+    ) -> Coroutine[bool]:
+        """Answer a whole request; whether it was one for the backend servers."""
+        if arrival is None:
             good = self._ready() and not self._draining
             yield from self._say(
                 connection, 200 if good else 503, [TEXT], b"ready\n" if good else b"not ready\n"
             )
-            return
-        if path != PATH:
-            raise BadRequest(404, "no such path")
-        if request.method != b"POST":
-            raise BadRequest(405, "POST only")
-        arrival, job = self._arrival(request, body)
+            return False
+        job = self._job(request, body)
         task = self._clients[connection]
         session = self._dispatcher.submit(arrival, job, task.wake)
         last = session.deadline + self._config.settings.answer_grace
@@ -213,9 +275,39 @@
         else:
             log.error("session %s had no answer by its deadline", job.id)
             yield from self._give(connection, Answer("failed"))
+        return True
+
+    def _job(self, request: h11.Request, body: bytes) -> Job:
+        """What is passed on. Raises BadRequest for an id that another request had.
 
-    def _arrival(self, request: h11.Request, body: bytes) -> tuple[i.Arrival, Job]:
-        headers = dict(request.headers)
+        Guards the backend servers against a second copy: to them, whatever bears the id is that request.
+        """
+        name = dict(request.headers)[b"req-id"]
+        if name in self._ids:
+            raise BadRequest(400, "Req-Id: another request has it")
+        self._ids[name] = None
+        if len(self._ids) > IDS_KEPT:
+            del self._ids[next(iter(self._ids))]
+        passed = [(field, value) for field, value in request.headers.raw_items() if field.lower() not in OWN]
+        return Job(name.decode("latin-1"), request.method, request.target, passed, body)
+
+    def _check(self, request: h11.Request) -> i.Arrival | None:
+        """What a head asks for; None for /healthz. Raises BadRequest for one that can't be used."""
+        path = request.target.partition(b"?")[0]
+        if path == HEALTH:
+            if request.method != b"GET":
+                raise BadRequest(405, "GET only")
+            return None
+        if path != PATH:
+            raise BadRequest(404, "no such path")
+        if request.method != b"POST":
+            raise BadRequest(405, "POST only")
+        names = [name for name, _ in request.headers if ONCE.match(name)]
+        if len(names) > len(set(names)):
+            raise BadRequest(400, f"{next(n for n in names if names.count(n) > 1).decode()}: more than once")
+        return self._arrival(dict(request.headers))
+
+    def _arrival(self, headers: dict[bytes, bytes]) -> i.Arrival:
         config = self._config
         cls = config.classes.get(headers.get(b"req-kind", b"").decode("latin-1"))
         if cls is None:
@@ -223,27 +315,27 @@
         deadline = headers.get(b"req-deadline", b"")
         if not DEADLINE.match(deadline):
             raise BadRequest(400, "Req-Deadline: seconds are wanted")
-        name = headers.get(b"req-id", b"")
-        if not name:
-            raise BadRequest(400, "Req-Id: missing")
+        if not ID.match(headers.get(b"req-id", b"")):
+            raise BadRequest(400, "Req-Id: missing, too long or not plain text")
         if config.settings.classes[cls].effect == "keyed" and not headers.get(b"idempotency-key"):
             raise BadRequest(400, "Idempotency-Key: missing, and the class is keyed")
         extra = dict(part.partition(b"=")[::2] for part in headers.get(b"req-extra", b"").split(b","))
         cookies = (part.strip().partition(b"=") for part in headers.get(b"cookie", b"").split(b";"))
-        key = next((value.decode("latin-1") for crumb, _, value in cookies if crumb == b"obj"), None)
-        arrival = i.Arrival(
+        keys = [value.decode("latin-1") for crumb, _, value in cookies if crumb == b"obj"]
+        if len(keys) > 1:
+            raise BadRequest(400, "Cookie: obj more than once")
+        return i.Arrival(
             request=0,
             cls=cls,
-            time_left=int(float(deadline) * 1e6),
+            # No client waits longer than its class allows; the decisions learn from the longest wait.
+            time_left=min(int(float(deadline) * 1e6), config.settings.classes[cls].deadline),
             tenant=config.tenants.get(headers.get(b"req-owner", b"").decode("latin-1"), -1),
-            key=key,
+            key=keys[0] if keys else None,
             work=int(_figure(headers.get(b"req-cost"), 0.0)) or None,
             slots=_figure(extra.get(b"slots"), 0.0) or 1.0,
             memory=_figure(extra.get(b"memory"), 0.0),
             retry=headers.get(b"req-retry") == b"1",
         )
-        passed = [(field, value) for field, value in request.headers.raw_items() if field.lower() not in OWN]
-        return arrival, Job(name.decode("latin-1"), request.method, request.target, passed, body)
 
     # ------------------------------------------------------------------ answers
 
@@ -275,18 +367,35 @@
         Guards against a reset that overtakes the answer: closing with bytes unread would send one.
         """
         shut_writing(connection.sock)
-        until, room = self._loop.now + LINGER_TIME, bytearray(16 * 1024)
-        while True:
+        self._unproven.pop(connection, None)
+        self._lingering[connection] = None
+        until = self._loop.now + LINGER_TIME
+        while self._loop.now < until:
             try:
-                if not connection.sock.recv_into(room):
-                    return
+                got = connection.sock.recv_into(SCRAP)
             except BlockingIOError:
-                if not (yield connection.sock.fileno(), READ, until):
-                    return
+                yield connection.sock.fileno(), READ, until
             except OSError:
                 return
-            if self._loop.now >= until:
-                return
+            else:
+                if not got:
+                    return
+                connection.spend(got // 4)  # to throw bytes away is less work than to read them
+                yield from connection.pace()
+
+
+def _framing(head: bytes, request: h11.Request) -> None:
+    """Raise BadRequest unless there is one way only to say where the body ends.
+
+    Guards against a request that hides in the body of another: a length beside an encoding, or a second
+    length, lets two readers disagree. h11 takes the encoding, and folds equal lengths into one.
+    """
+    lengths = LENGTH.findall(HEAD_END.split(head, 1)[0])
+    encoded = any(name == b"transfer-encoding" for name, _ in request.headers)
+    if len(lengths) + encoded > 1 or any(b"," in length for length in lengths):
+        raise BadRequest(400, "more than one way to tell the body's length")
+    if lengths and (len(lengths[0].strip()) > 9 or int(lengths[0]) > BODY_LIMIT):
+        raise BadRequest(413, "body over 64 KiB")
 
 
 def _figure(text: bytes | None, default: float) -> float:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -16,6 +16,7 @@
 import time
 import unittest
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 from unittest import mock
@@ -172,15 +173,15 @@
         return Peer(socket.create_connection(self.address))
 
     def ask(
-        self, kind: str = "unsafe", wait: str = "9.0", body: bytes = b"pay", peer: Peer | None = None
+        self, kind: str = "unsafe", wait: str = "9.0", peer: Peer | None = None, name: str = "id-1"
     ) -> Peer:
         peer = peer or self.client()
         self.clients.append(peer)
         peer.got = b""
         peer.sock.sendall(
-            b"POST /api?x=1 HTTP/1.1\r\nHost: o\r\nReq-Id: id-1\r\nReq-Kind: %s\r\nReq-Owner: acme\r\n"
-            b"Req-Deadline: %s\r\nIdempotency-Key: k1\r\nReq-Extra: slots=1\r\nContent-Length: %d\r\n\r\n%s"
-            % (kind.encode(), wait.encode(), len(body), body)
+            b"POST /api?x=1 HTTP/1.1\r\nHost: o\r\nReq-Id: %s\r\nReq-Kind: %s\r\nReq-Owner: acme\r\n"
+            b"Req-Deadline: %s\r\nIdempotency-Key: k1\r\nReq-Extra: slots=1\r\nContent-Length: 3\r\n\r\npay"
+            % (name.encode(), kind.encode(), wait.encode())
         )
         return peer
 
@@ -211,17 +212,24 @@
 class Serving(Story):
     def test_a_job_passes_through_and_its_result_comes_back_on_connections_that_stay(self) -> None:
         client = self.client()
-        for _ in range(2):
-            self.ask(peer=client)
+        for name in ("id-1", "id-2"):
+            self.ask(peer=client, name=name)
             server = self.dispatched()
             head = server.job
             self.assertTrue(head.startswith(b"POST /api?x=1 HTTP/1.1\r\n"))
-            for passed in (b"Req-Id: id-1", b"Idempotency-Key: k1", b"Content-Length: 3", b"\r\n\r\npay"):
+            for passed in (
+                b"Req-Id: " + name.encode(),
+                b"Idempotency-Key: k1",
+                b"Content-Length: 3",
+                b"\r\n\r\npay",
+            ):
                 self.assertIn(passed, head)
             server.sock.sendall(STREAM)
-            server.say('{"id":"id-1","state":"started"}', '{"id":"id-1","state":"running","share":0.4}')
+            server.say(
+                *(f'{{"id":"{name}",{x}}}' for x in ('"state":"started"', '"state":"running","share":1'))
+            )
             # A line in two pieces, and the result before the end of the message.
-            last = b'{"id":"id-1","state":"done","result":"paid \\u00e9","load":{"x0":2}}\n'
+            last = b'{"id":"%s","state":"done","result":"paid \\u00e9","load":{"x0":2}}\n' % name.encode()
             server.sock.sendall(b"%x\r\n%s" % (len(last), last[:9]))
             self.rest(0.02)
             server.sock.sendall(last[9:] + b"\r\n")
@@ -380,7 +388,7 @@
             server.say("{}")
             self.assertEqual(self.status(client), 500)
         with mock.patch("heronstall.net.frontend.Frontend._arrival", side_effect=RuntimeError("bug")):
-            broken = self.ask()
+            broken = self.ask(name="id-2")
             self.spin(lambda: broken.read() == b"" and broken.closed)
         with mock.patch.object(
             self.front._dispatcher, "_send", side_effect=[RuntimeError("bug"), None]
@@ -388,10 +396,92 @@
             self.front._dispatcher.post(i.Arrival(901, 0, 9_000_000))
             self.front._dispatcher.post(i.Arrival(902, 0, 9_000_000))
             self.spin(lambda: send.call_count == 2)  # the second action is carried out all the same
-        self.ask()
+        self.ask(name="id-3")
         self.dispatched()
 
 
+class BadClients(Story):
+    def gone(self, client: Peer) -> bool:
+        client.read()
+        return client.closed
+
+    def say(self, text: bytes) -> Peer:
+        client = self.client()
+        self.clients.append(client)
+        client.sock.sendall(text)
+        return client
+
+    def test_a_request_that_two_readers_may_read_differently_is_passed_to_nobody(self) -> None:
+        post = b"POST /api HTTP/1.1\r\nHost: o\r\nReq-Kind: unsafe\r\nReq-Deadline: 9\r\n"
+        hidden = post + b"Req-Id: hidden\r\n\r\n"
+        for odd, stays in (
+            (b"Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" % (len(hidden) + 5), False),
+            (b"Content-Length: 0\r\ncontent-length : 0\r\n\r\n", False),
+            (b"Content-Length: 0\r\ncontent-length: 0\r\n\r\n", False),  # h11 folds these into one
+            (b"Content-Length: 0, 0\r\n\r\n", False),
+            (b"Req-Id: other\r\n\r\n", True),
+            (b"Req-Deadline: 9\r\n\r\n", True),
+            (b"Idempotency-Key: a\r\nIdempotency-Key: a\r\n\r\n", True),
+            (b"Cookie: obj=1; obj=2\r\n\r\n", True),
+        ):
+            client = self.say(post + b"Req-Id: id-1\r\n" + odd + (b"" if stays else hidden))
+            self.assertEqual(self.status(client), 400, odd)
+            if not stays:
+                self.spin(partial(self.gone, client))
+            self.assertEqual(client.got.count(b"HTTP/1.1"), 1, odd)
+        self.assertFalse(self.front._dispatcher._sessions)
+
+    def test_the_id_of_an_earlier_request_is_bad_input(self) -> None:
+        first = self.ask()
+        server = self.dispatched()
+        self.assertEqual(self.status(self.ask(name="id-1")), 400)
+        server.sock.sendall(STREAM)
+        server.say('{"id":"id-1","state":"done","result":"ok"}')
+        self.assertEqual(self.status(first), 200)
+        self.assertEqual(self.status(self.ask(name="id-1")), 400)
+
+    def test_a_deadline_beyond_the_class_is_cut_to_it(self) -> None:
+        self.ask(wait="9999999")
+        self.assertRegex(self.dispatched().job, rb"Req-Deadline: [89]\.")
+
+    def test_who_never_speaks_or_ends_is_given_up_and_who_served_well_is_kept(self) -> None:
+        with mock.patch("heronstall.net.frontend.REQUEST_TIME", 300_000):
+            usual = self.ask()
+            server = self.dispatched()
+            server.sock.sendall(STREAM)
+            server.say('{"id":"id-1","state":"done","result":"ok"}')
+            self.assertEqual(self.status(usual), 200)
+            mute, half = self.client(), self.say(b"POST /api HTTP/1.1\r\nHo")
+            wrong = self.say(b"POST /else HTTP/1.1\r\nHost: o\r\n\r\n")
+            short = self.say(b"POST /api HTTP/1.1\r\nHost: o\r\nContent-Length: 9\r\n\r\n1234")
+            self.assertEqual(self.status(half), 408)
+            self.assertEqual(self.status(short), 408)
+            self.assertEqual(self.status(wrong), 404)
+            self.spin(lambda: mute.read() == b"" and mute.closed and wrong.read() and wrong.closed)
+            self.assertFalse(usual.closed)
+            self.ask(peer=usual, name="id-2")
+            self.assertIn(b"id-2", self.dispatched().job)
+
+    def test_a_body_is_refused_by_its_announced_size_and_its_sender_cannot_hold_the_loop(self) -> None:
+        client = self.say(b"POST /api HTTP/1.1\r\nHost: o\r\nContent-Length: 60000000\r\n\r\n")
+        self.assertEqual(self.status(client), 413)
+        (connection,) = self.front._clients
+        endless = mock.Mock(wraps=connection.sock)
+        endless.recv_into.side_effect = [65536] * 200 + [AssertionError("one turn read on and on")]
+        with mock.patch.object(connection, "sock", endless):
+            client.sock.sendall(b"x")
+            before = endless.recv_into.call_count
+            self.loop.turn(1)
+            self.assertLess(endless.recv_into.call_count - before, 10)
+            self.assertGreater(endless.recv_into.call_count - before, 0)
+
+    def test_a_pipeline_of_nonsense_is_answered_in_order_a_share_at_a_time(self) -> None:
+        client = self.say(b"GET /else HTTP/1.1\r\nHost: o\r\n\r\n" * 100)
+        self.spin(lambda: client.read())
+        self.assertLess(client.got.count(b"HTTP/1.1 404"), 50)  # the others had their turn in between
+        self.spin(lambda: client.read().count(b"HTTP/1.1 404") == 100)
+
+
 class Connections(Story):
     sockets = 64  # 12 on either side
 
@@ -403,6 +493,18 @@
         self.spin(lambda: idle[0].read() == b"" and idle[0].closed)
         self.assertFalse(any(peer.read() or peer.closed for peer in idle[1:]))
 
+    def test_a_full_house_gives_up_the_mute_before_those_that_served(self) -> None:
+        usual = self.ask()
+        server = self.dispatched()
+        server.sock.sendall(STREAM)
+        server.say('{"id":"id-1","state":"done","result":"ok"}')
+        self.assertEqual(self.status(usual), 200)
+        mute = [self.client() for _ in range(self.front._limit)]
+        self.spin(lambda: mute[0].read() == b"" and mute[0].closed)
+        self.ask(name="id-2")
+        self.dispatched()
+        self.assertFalse(usual.read() and usual.closed)
+
     def test_accept_survives_running_out_of_descriptors(self) -> None:
         failing = mock.Mock(wraps=self.front._listener)
         failing.accept.side_effect = OSError(24, "EMFILE")
