Take SIGHUP: follow the file's discovery and keep table and old watch meanwhile

Cause: no handler for SIGHUP in `__main__`, and no part could watch another address.

`after=` is left out: the protocol makes a revision one discovery's own count, and a whole list costs nothing. The former watch goes on until the new one's list is there, so no change is missed between the two.

--- a/heronstall/__main__.py
+++ b/heronstall/__main__.py
@@ -4,12 +4,14 @@
 
 import gc
 import logging
+import os
 import signal
 import socket
 import sys
 import time
+from collections.abc import Mapping
 
-from heronstall.config import Config, ConfigError, from_environment
+from heronstall.config import Config, ConfigError, fixed_changes, load, reload
 from heronstall.net.backend import HttpBackend, Pool
 from heronstall.net.dispatcher import Dispatcher
 from heronstall.net.frontend import Frontend
@@ -20,56 +22,81 @@
     40  # descriptors for the standard streams, epoll, the listener, the watch and what closes meanwhile
 )
 FIRST_LIST = 2_000_000  # how long the list last held must wait for news before it serves alone
+ENDS = (signal.SIGTERM, signal.SIGINT)
 log = logging.getLogger("heronstall")
 
 
-def build(config: Config, loop: Loop) -> Frontend:
-    """Put the parts together and start them."""
-    offset = time.time_ns() // 1000 - clock()
-    born = loop.now
-    half = (config.sockets - RESERVED) // 2  # a session holds one descriptor on either side
-    dispatcher = Dispatcher(config, loop)
-    pool = Pool(loop, config, half)
-    table = dispatcher.table = ServerTable(config, loop, offset, dispatcher.post)
-    table.moved = pool.forget
-    dispatcher.backend = HttpBackend(config, loop, dispatcher, pool)
+class Program:
+    """The parts, put together and started, and what the signals do to them."""
 
-    def ready() -> bool:
-        return table.any_serving() and (table.heard or loop.now - born > FIRST_LIST)
+    def __init__(self, config: Config, loop: Loop) -> None:
+        offset = time.time_ns() // 1000 - clock()
+        born = loop.now
+        half = (config.sockets - RESERVED) // 2  # a session holds one descriptor on either side
+        self.config, self.dispatcher = config, Dispatcher(config, loop)
+        pool = Pool(loop, config, half)
+        self.table = table = self.dispatcher.table = ServerTable(config, loop, offset, self.dispatcher.post)
+        table.moved = pool.forget
+        self.dispatcher.backend = HttpBackend(config, loop, self.dispatcher, pool)
 
-    table.start()
-    return Frontend(config, loop, dispatcher, ready, half)
+        def ready() -> bool:
+            return table.any_serving() and (table.heard or loop.now - born > FIRST_LIST)
 
+        table.start()
+        self.frontend = Frontend(config, loop, self.dispatcher, ready, half)
 
-def _signals(frontend: Frontend, waker: socket.socket) -> Coroutine[None]:
-    while True:
-        yield waker.fileno(), READ, None
-        for number in waker.recv(64):
-            log.info("%s: draining", signal.Signals(number).name)
-            frontend.drain()
+    def signals(self, waker: socket.socket) -> Coroutine[None]:
+        """Carry out the signals whose numbers come in at the waker."""
+        while True:
+            yield waker.fileno(), READ, None
+            for number in waker.recv(64):
+                if number == signal.SIGHUP:
+                    self.reload(os.environ)
+                elif number in ENDS:
+                    log.info("%s: draining", signal.Signals(number).name)
+                    self.frontend.drain()
+
+    def reload(self, environ: Mapping[str, str]) -> None:
+        """Read the configuration again; a wrong one changes nothing."""
+        try:
+            config = reload(environ)
+        except ConfigError as error:
+            log.error("SIGHUP: configuration not taken: %s", error)
+            return
+        for key in fixed_changes(self.config, config):
+            log.warning("SIGHUP: %s has changed and takes a restart: goes on as before", key)
+        log.info("SIGHUP: configuration read again, discovery %s:%d", *config.discovery)
+        self.table.follow(config.discovery)
+
+
+def _catch_signals() -> socket.socket:
+    """Where the numbers of signals come in from now on, be it before the loop turns."""
+    waker, wakened = socket.socketpair()
+    waker.setblocking(False)
+    wakened.setblocking(False)
+    signal.set_wakeup_fd(wakened.detach(), warn_on_full_buffer=False)
+    for number in (*ENDS, signal.SIGHUP):
+        signal.signal(number, lambda *_: None)
+    return waker
 
 
 def main() -> int:
     """Serve until SIGTERM or SIGINT; 2 for a wrong configuration."""
+    # First of all: guards against a reload or restart that comes early and would kill the process.
+    waker = _catch_signals()
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
     try:
-        config = from_environment()
+        config = load(os.environ)
     except ConfigError as error:
         log.error("configuration: %s", error)
         return 2
     loop = Loop()
     try:
-        frontend = build(config, loop)
+        program = Program(config, loop)
     except OSError as error:
         log.error("cannot listen on %s:%d: %s", *config.listen, error)
         return 1
-    waker, wakened = socket.socketpair()
-    waker.setblocking(False)
-    wakened.setblocking(False)
-    signal.set_wakeup_fd(wakened.fileno(), warn_on_full_buffer=False)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: None)
-    loop.spawn(_signals(frontend, waker), "signals")
+    loop.spawn(program.signals(waker), "signals")
     gc.freeze()
     gc.set_threshold(50_000, 20, 100)
     log.info("%s listens on %s:%d", config.name, *config.listen)
--- a/heronstall/config.py
+++ b/heronstall/config.py
@@ -8,9 +8,8 @@
 from __future__ import annotations
 
 import math
-import os
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from pathlib import Path
 from typing import Any, cast
 
@@ -217,6 +216,28 @@
 
 def load(environ: Mapping[str, str]) -> Config:
     """Read NODE_CONFIG; the other NODE_ variables win over what it says."""
+    return configuration({**_file(environ), **_told(environ)})
+
+
+def reload(environ: Mapping[str, str]) -> Config:
+    """Read NODE_CONFIG again. NODE_DISCOVERY told of the start: the file's `discovery` is the newer word."""
+    raw = _file(environ)
+    told = {key: value for key, value in _told(environ).items() if key != "discovery" or key not in raw}
+    return configuration({**raw, **told})
+
+
+def fixed_changes(old: Config, new: Config) -> list[str]:
+    """The keys that differ and cannot be followed before a restart.
+
+    `known` and `seed` are not among them: they are of use at a start only and are new in each file.
+    """
+    keys = {"name": "name", "listen": "listen", "sockets": "limits.sockets"}
+    passed = ("discovery", "known", "seed")
+    changed = [f.name for f in fields(Config) if getattr(old, f.name) != getattr(new, f.name)]
+    return sorted({keys.get(name, "settings") for name in changed if name not in passed})
+
+
+def _file(environ: Mapping[str, str]) -> dict[str, Any]:
     path = environ.get("NODE_CONFIG")
     if not path:
         raise ConfigError("NODE_CONFIG: not set")
@@ -224,7 +245,7 @@
         text = Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise ConfigError(f"NODE_CONFIG: cannot read {path}: {error}") from None
-    return configuration({**parse(text, "NODE_CONFIG"), **_told(environ)})
+    return parse(text, "NODE_CONFIG")
 
 
 def _told(environ: Mapping[str, str]) -> dict[str, str]:
@@ -275,8 +296,3 @@
         keepalive=limits.whole("keepalive", 5 * SECOND, 1),
         drain_grace=s.table("rules").whole("drainGrace", 2 * SECOND),
     )
-
-
-def from_environment() -> Config:
-    """The configuration of this process."""
-    return load(os.environ)
--- a/heronstall/net/server_table.py
+++ b/heronstall/net/server_table.py
@@ -12,7 +12,7 @@
 from heronstall import interface as i
 from heronstall.config import Address, Config, ConfigError, address
 from heronstall.net.connection import Connection, Ended, Ending, Lines, connect
-from heronstall.net.loop import Coroutine, Loop, sleep
+from heronstall.net.loop import Coroutine, Loop, Task, sleep
 
 STATES: dict[str, Literal["active", "leaving", "left"]] = {
     "SERVING": "active",
@@ -21,6 +21,8 @@
 }
 SILENCE = 5_000_000  # a heartbeat comes every 2 s: after two missed ones the watch counts as dead
 PAUSE, LONGEST_PAUSE = 100_000, 2_000_000  # between attempts at a new watch
+UNHEARD_PAUSE = 200_000  # the same at an address that has yet to answer: news from there is overdue
+CONNECT_TIME = 1_000_000
 TABLE_LINE = 4 * 1024 * 1024
 FORGET = 600_000_000  # a server gone for so long loses its number
 log = logging.getLogger("heronstall.server_table")
@@ -36,6 +38,17 @@
         self.off_since: int | None = None  # since when it has been told to drain or be gone
 
 
+class _Watch:
+    """A watch on one discovery: how far it has told, and the coroutine that keeps it up."""
+
+    __slots__ = ("discovery", "rev", "heard", "task")
+
+    def __init__(self, discovery: Address, rev: int | None) -> None:
+        self.discovery, self.rev = discovery, rev
+        self.heard = False
+        self.task: Task | None = None
+
+
 class ServerTable:
     """Turns discovery's lists into the module's, and uids into numbers."""
 
@@ -46,48 +59,75 @@
         self.by_number: dict[int, BackendServer] = {}
         self._zones, self._kinds = dict(config.zones), dict(config.kinds)
         self._next = 1
-        self._rev: int | None = None
+        self._watch: _Watch | None = None
+        self._former: _Watch | None = None  # told the table; kept until its successor has told one
         self.moved: Callable[[BackendServer], None] = lambda server: None  # its old connections lead nowhere
         self.heard = False  # the watch has answered since the start
 
     def start(self) -> None:
         """Take the list last held, if any, and watch from there on."""
+        rev = None
         if self._config.known is not None:
             try:
-                self._take(self._config.known, persisted=True)
+                rev = self._take(self._config.known, persisted=True)
             except Ended as ended:
                 log.warning("known list ignored: %s", ended)
-        self._loop.spawn(self._watch(), "watch")
+        self._begin(_Watch(self._config.discovery, rev))
+
+    def follow(self, discovery: Address) -> None:
+        """Watch another discovery from now on. The table, and the watch that told it, stay until it answers.
+
+        It is asked for the whole list: a revision is one discovery's own count of its changes, and `after=`
+        with another's could pass over changes that nobody has told us.
+        """
+        if self._watch is None or self._watch.discovery == discovery:
+            return
+        if self._former is None:
+            self._former = self._watch
+        else:  # another reload came before the last one's discovery had answered
+            if self._watch.task is not None:
+                self._watch.task.kill()
+        self._begin(_Watch(discovery, None))
+
+    def _begin(self, watch: _Watch) -> None:
+        self._watch = watch
+        watch.task = self._loop.spawn(self._keep_up(watch), "watch")
 
     def any_serving(self) -> bool:
         """Whether any server is there to send to."""
         return any(server.off_since is None for server in self._by_uid.values())
 
-    def _watch(self) -> Coroutine[None]:
+    def _keep_up(self, watch: _Watch) -> Coroutine[None]:
         pause = PAUSE
-        while True:
+        while watch is self._watch:
             connection: Connection | None = None
-            rev = self._rev
+            rev = watch.rev
             try:
-                connection = yield from connect(self._loop, self._config.discovery, self._loop.now + SILENCE)
-                yield from self._follow(connection)
+                connection = yield from connect(self._loop, watch.discovery, self._loop.now + CONNECT_TIME)
+                yield from self._listen(watch, connection)
             except Ended as ended:
-                log.warning("watch ended, table of revision %s stays valid: %s", self._rev, ended)
+                log.warning(
+                    "watch on %s:%d ended, table of revision %s stays valid: %s",
+                    *watch.discovery,
+                    watch.rev,
+                    ended,
+                )
                 if ended.ending is Ending.MALFORMED:
-                    self._rev = None  # what was missed cannot be told: ask for the whole list
+                    watch.rev = None  # what was missed cannot be told: ask for the whole list
             except Exception:
                 log.exception("unexpected error in the watch")
-                self._rev = None
+                watch.rev = None
             finally:
                 if connection is not None:
                     connection.close()
-            pause = PAUSE if self._rev is not None and self._rev != rev else min(2 * pause, LONGEST_PAUSE)
+            longest = LONGEST_PAUSE if watch.heard else UNHEARD_PAUSE
+            pause = PAUSE if watch.rev is not None and watch.rev != rev else min(2 * pause, longest)
             yield from sleep(self._loop.now + pause)
 
-    def _follow(self, connection: Connection) -> Coroutine[None]:
-        after = "" if self._rev is None else f"&after={self._rev}"
+    def _listen(self, watch: _Watch, connection: Connection) -> Coroutine[None]:
+        after = "" if watch.rev is None else f"&after={watch.rev}"
         target = f"/v1/servers?watch=1{after}"
-        host = f"{self._config.discovery[0]}:{self._config.discovery[1]}"
+        host = f"{watch.discovery[0]}:{watch.discovery[1]}"
         request = connection.parser.send(h11.Request(method="GET", target=target, headers=[("Host", host)]))
         request = (request or b"") + (connection.parser.send(h11.EndOfMessage()) or b"")
         yield from connection.write(request, self._loop.now + SILENCE)
@@ -103,15 +143,27 @@
                         message = ujson.loads(line)
                     except ValueError:
                         raise Ended(Ending.MALFORMED, f"not JSON: {line[:80]!r}") from None
-                    self._take(message)
-                    if not self.heard:
-                        self.heard = True
-                        log.info("watch answered, revision %s, %d servers", self._rev, len(self._by_uid))
+                    watch.rev = self._take(message)
+                    if not watch.heard:
+                        self._first_heard(watch)
             elif isinstance(event, (h11.EndOfMessage, h11.ConnectionClosed)):
                 raise Ended(Ending.CLOSED)
 
-    def _take(self, message: Any, persisted: bool = False) -> None:
-        """One list. It is read whole before anything of it counts, so that half a list changes nothing."""
+    def _first_heard(self, watch: _Watch) -> None:
+        watch.heard = self.heard = True
+        log.info(
+            "watch on %s:%d answered, revision %s, %d servers",
+            *watch.discovery,
+            watch.rev,
+            sum(server.off_since is None for server in self._by_uid.values()),
+        )
+        if watch is self._watch and self._former is not None:
+            if self._former.task is not None:
+                self._former.task.kill()
+            self._former = None
+
+    def _take(self, message: Any, persisted: bool = False) -> int:
+        """One list; its revision. It is read whole before it counts: half a list changes nothing."""
         try:
             rev, whole = int(message["rev"]), bool(message["all"])
             rows = [self._entry(row) for row in message["targets"]]
@@ -142,10 +194,10 @@
         for old in list(self._by_uid.values()):
             if old.off_since is not None and now - old.off_since > FORGET:
                 del self._by_uid[old.uid], self.by_number[old.number]
-        self._rev = rev
         if entries or whole:
             scope = "persisted" if persisted else "complete" if whole else "changes"
             self._told(i.WorkerList(cast(Any, scope), tuple(entries)))
+        return rev
 
     def _entry(self, row: Any) -> tuple[str, Address, int, str, i.WorkerEntry]:
         uid, boot_ms = str(row["uid"]), int(row.get("boot_ms") or 0)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -9,6 +9,7 @@
 import logging
 import os
 import select
+import signal
 import socket
 import subprocess
 import sys
@@ -22,7 +23,7 @@
 from unittest import mock
 
 from heronstall import interface as i
-from heronstall.__main__ import build
+from heronstall.__main__ import Program as Dispatching
 from heronstall.config import ConfigError, configuration
 from heronstall.net.backend import Pool, read_report
 from heronstall.net.connection import Buffer, Connection, Ended, Ending, Lines
@@ -127,7 +128,8 @@
         self.raw = raw_config(
             discovery=at(self.discovery), known=self.table(0, 1), limits={"sockets": self.sockets}
         )
-        self.front: Frontend = build(configuration(self.raw), self.loop)
+        self.program = Dispatching(configuration(self.raw), self.loop)
+        self.front: Frontend = self.program.frontend
         self.address = self.front._listener.getsockname()
         self.watch = self.accept(self.discovery)
 
@@ -169,6 +171,10 @@
         assert isinstance(peer, Peer)
         return peer
 
+    def gone(self, peer: Peer) -> bool:
+        peer.read()
+        return peer.closed
+
     def client(self) -> Peer:
         return Peer(socket.create_connection(self.address))
 
@@ -401,10 +407,6 @@
 
 
 class BadClients(Story):
-    def gone(self, client: Peer) -> bool:
-        client.read()
-        return client.closed
-
     def say(self, text: bytes) -> Peer:
         client = self.client()
         self.clients.append(client)
@@ -583,6 +585,63 @@
         self.servers = [self.servers[1]]
         self.dispatched()
 
+    def reload(self, **changes: Any) -> list[str]:
+        """SIGHUP with a changed file, under a NODE_DISCOVERY that told of the start; what was logged."""
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            file.write(json.dumps({**self.raw, **changes}))
+            file.flush()
+            logging.disable(logging.NOTSET)
+            with self.assertLogs("heronstall") as logs:
+                self.program.reload({"NODE_CONFIG": file.name, "NODE_DISCOVERY": at(self.discovery)})
+        logging.disable(logging.CRITICAL)
+        return logs.output
+
+    def test_a_reload_follows_another_discovery_and_keeps_the_table_and_the_old_watch_until_it_answers(
+        self,
+    ) -> None:
+        table = self.program.table
+        self.watch.sock.sendall(STREAM)
+        self.watch.say(json.dumps(self.table(0, 1, rev=5)))
+        self.spin(lambda: table.heard)
+        middle, new = listener(), listener()
+        new_at = at(new)
+        self.reload(discovery=at(middle))
+        never_answers = self.accept(middle)
+        new.close()
+        self.reload(discovery=new_at)  # a second one before the first was heard; nobody listens there yet
+        self.spin(lambda: self.gone(never_answers))
+        host, port = new_at.split(":")
+        new = socket.create_server((host, int(port)))
+        new.settimeout(0)
+        began = time.monotonic()
+        fresh = self.accept(new)
+        self.assertLess(time.monotonic() - began, 5)  # not the long pause of an address that has answered
+        self.spin(lambda: b"\r\n\r\n" in fresh.read())
+        self.assertIn(b"GET /v1/servers?watch=1 ", fresh.got)  # another's revision means nothing here
+        self.assertFalse(self.watch.closed)
+        self.watch.say(json.dumps(self.table(2, rev=6, whole=False)))  # still listened to
+        self.spin(lambda: len(table.by_number) == 3)
+        fresh.sock.sendall(STREAM)
+        fresh.say(json.dumps(self.table(2, rev=1)))
+        self.spin(lambda: sum(s.off_since is None for s in table.by_number.values()) == 1)
+        self.spin(lambda: self.gone(self.watch))
+        fresh.sock.close()
+        again = self.accept(new)
+        self.spin(lambda: b"after=1 " in again.read())
+        self.assertFalse(select.select([self.discovery, middle], [], [], 0)[0])
+
+    def test_a_wrong_or_unchanged_file_changes_nothing_and_what_takes_a_restart_is_named(self) -> None:
+        for changes, said in (
+            ({"discovery": "nowhere"}, "discovery: 'nowhere' is not host:port"),
+            ({"settings": {**SETTINGS, "tick": 0}}, "settings.tick"),
+            ({"limits": {"sockets": 99}}, "limits.sockets has changed"),
+            ({"listen": "127.0.0.1:1", "settings": {**SETTINGS, "tick": 7}}, "listen has changed"),
+        ):
+            self.assertIn(said, "\n".join(self.reload(**changes)))
+        self.rest(0.05)
+        self.assertFalse(self.gone(self.watch))
+        self.assertFalse(select.select([self.discovery], [], [], 0)[0])
+
     def test_one_uid_may_come_back_at_another_address(self) -> None:
         server = next(s for s in self.front._dispatcher.table.by_number.values() if s.uid == "s-0")
         moved = self.table(0, rev=2, whole=False)
@@ -617,9 +676,11 @@
         ran = self.run_with(raw_config())
         assert ran.stderr is not None
         self.assertIn("listens on", ran.stderr.readline())
-        ran.terminate()
+        for number in (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+            ran.send_signal(number)  # a reload neither ends it nor keeps it from ending
         said = ran.communicate(timeout=60)[1]
         self.assertEqual(ran.returncode, 0)
+        self.assertIn("configuration read again", said)
         self.assertIn("has answered everything", said)
         ran = self.run_with(raw_config(listen="nowhere"))
         self.assertIn("listen:", ran.communicate(timeout=60)[1])
