--- a/heronstall/net/frontend.py
+++ b/heronstall/net/frontend.py
@@ -33,6 +33,10 @@
 IDS_KEPT = 8192
 SCRAP = bytearray(64 * 1024)  # what is read only to be thrown away
 DRAIN_TIME = 750_000  # clients find their way to the others meanwhile
+# SIGKILL comes no sooner after SIGTERM than the longest deadline, taken as 3 s where it is longer, and 0.7 s
+# more. What came later than 0.7 s and has no answer then is lost: so whoever comes late is answered before.
+KILL_AFTER, LONGEST_DEADLINE = 700_000, 3_000_000
+LATE, BEFORE_KILL = 600_000, 200_000
 PATH, HEALTH = b"/api", b"/healthz"
 # Twice the same of these and two readers may each believe another one: such a request is passed to nobody.
 ONCE = re.compile(rb"(content-length|transfer-encoding|cookie|idempotency-key|expect|req-[a-z-]+)\Z")
@@ -78,6 +82,7 @@
         self._idle: dict[Connection, None] = {}
         self._ids: dict[bytes, None] = {}  # of the latest requests, so that none is taken for another
         self._draining = self._closing = self._deaf = False
+        self._late_at = self._killed_at = 0  # once draining
         self._deaf_at = 0  # when new connections are taken no more at the latest, once closing
         self._finished: Callable[[], None] = loop.stop
         host, port = config.listen
@@ -152,6 +157,9 @@
         """Stop in an orderly way: first as ever, then closing what idles, at last when all is answered."""
         if not self._draining:
             self._draining = True
+            longest = max(c.deadline for c in self._config.settings.classes)
+            self._late_at = self._loop.now + LATE
+            self._killed_at = self._loop.now + min(longest, LONGEST_DEADLINE) + KILL_AFTER - BEFORE_KILL
             self._loop.at(self._loop.now + DRAIN_TIME, self._close_up)
 
     def _close_up(self) -> None:
@@ -262,6 +270,9 @@
         task = self._clients[connection]
         session = self._dispatcher.submit(arrival, job, task.wake)
         last = session.deadline + self._config.settings.answer_grace
+        late = self._draining and self._loop.now >= self._late_at
+        if late:
+            last = min(last, self._killed_at)
         got: Any = 0
         try:
             got = yield connection.sock.fileno(), LEFT, last
@@ -273,7 +284,10 @@
         elif got:
             raise Ended(Ending.CLOSED)
         else:
-            log.error("session %s had no answer by its deadline", job.id)
+            if late:
+                log.warning("session %s came late in a drain: failed before the kill", job.id)
+            else:
+                log.error("session %s had no answer by its deadline", job.id)
             yield from self._give(connection, Answer("failed"))
         return True
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -309,6 +309,20 @@
         taken.sock.close()
         self.spin(lambda: stopped.called)
 
+    def test_who_comes_late_in_a_drain_has_an_answer_before_the_kill(self) -> None:
+        with (
+            mock.patch("heronstall.net.frontend.LATE", 0),
+            mock.patch("heronstall.net.frontend.LONGEST_DEADLINE", 500_000),
+        ):
+            early = self.ask()
+            self.dispatched()
+            self.front.drain()
+            late = self.ask(name="id-2")
+            self.dispatched()
+            self.assertEqual(self.status(late), 500)
+            self.assertLess(self.loop.now, self.front._killed_at + 200_000)
+        self.assertEqual(early.read(), b"")
+
 
 class Failing(Story):
     def test_each_word_of_a_backend_server_gets_the_ending_it_proves(self) -> None:
