Bound what all bodies hold together, and close sockets before new ones open

Read in the code: limits.memory_mb was not read; a body may hold 64 KiB, h11 and the session hold it again, and 108 connections at 256 descriptors could hold some 20 MB beside the program's own 11 to 20 MB. Sockets of one batch were closed only after everything that the batch led to had opened its own.

--- a/heronstall/config.py
+++ b/heronstall/config.py
@@ -202,6 +202,7 @@
     discovery: Address
     seed: int
     sockets: int
+    memory: int  # bytes
     known: dict[str, Any] | None
     settings: i.Settings
     classes: dict[str, int]
@@ -231,7 +232,7 @@
 
     `known` and `seed` are not among them: they are of use at a start only and are new in each file.
     """
-    keys = {"name": "name", "listen": "listen", "sockets": "limits.sockets"}
+    keys = {"name": "name", "listen": "listen", "sockets": "limits.sockets", "memory": "limits.memory_mb"}
     passed = ("discovery", "known", "seed")
     changed = [f.name for f in fields(Config) if getattr(old, f.name) != getattr(new, f.name)]
     return sorted({keys.get(name, "settings") for name in changed if name not in passed})
@@ -285,6 +286,7 @@
         discovery=address(t.text("discovery"), "discovery"),
         seed=number,
         sockets=t.table("limits").whole("sockets", 1024, 64),
+        memory=int(t.table("limits").number("memory_mb", 192, 24) * 1024 * 1024),
         known=known,
         settings=decided,
         classes=numbered[0],
--- a/heronstall/net/frontend.py
+++ b/heronstall/net/frontend.py
@@ -27,8 +27,11 @@
 WRITE_TIME = 10_000_000  # for a client to read its answer
 LINGER_TIME = 1_000_000
 ACCEPT_PAUSE = 20_000
-ACCEPTS = 32  # in one turn of the loop: those served must not wait for a flood of new ones
+ACCEPTS = 16  # in one turn of the loop: those served must not wait for a flood of new ones
 PARSING = 4096  # a request's own work, in bytes: so many small ones make up a connection's share of a turn
+# All bodies together, of requests half read or not yet answered, may hold a third of the memory that the
+# program does not need for itself.
+OWN_MEMORY, BODIES_PART = 20 * 1024 * 1024, 3
 CANDIDATES = 8  # connections looked at when one is to be given up
 IDS_KEPT = 8192
 SCRAP = bytearray(64 * 1024)  # what is read only to be thrown away
@@ -80,6 +83,9 @@
         self._lingering: dict[Connection, None] = {}
         self._unproven: dict[Connection, None] = {}
         self._idle: dict[Connection, None] = {}
+        self._bodies: dict[Connection, int] = {}  # bytes held for each
+        self._held = 0  # their sum
+        self._room = max(2 * BODY_LIMIT, (config.memory - OWN_MEMORY) // BODIES_PART)
         self._ids: dict[bytes, None] = {}  # of the latest requests, so that none is taken for another
         self._draining = self._closing = self._deaf = False
         self._late_at = self._killed_at = 0  # once draining
@@ -173,6 +179,7 @@
         if connection is not None:
             for row in (self._clients, self._lingering, self._unproven, self._idle):
                 row.pop(connection, None)
+            self._release(connection)
             connection.close()
         if self._deaf and not self._clients:
             self._loop.soon(self._finished)
@@ -202,9 +209,11 @@
                     self._unproven.pop(connection, None)
                     proven = (yield from self._exchange(connection, *read)) or proven
                 except BadRequest as bad:
+                    self._release(connection)
                     proven, until = False, self._loop.now + REQUEST_TIME
                     self._unproven[connection] = None
                     yield from self._say(connection, bad.status, [TEXT], f"{bad}\n".encode())
+                self._release(connection)
                 if parser.our_state is not h11.DONE or parser.their_state is not h11.DONE:
                     yield from self._linger(connection)
                     return
@@ -242,6 +251,7 @@
                     # What is wrong with a head is said after its body, so that the connection can stay:
                     # one that asks wrongly again at once is cheaper so than with a new one each time.
                     if wrong is None:
+                        self._hold(connection, len(event.data))
                         body += event.data
                 elif isinstance(event, h11.EndOfMessage) and request is not None:
                     if wrong is not None:
@@ -256,6 +266,20 @@
                 raise BadRequest(408, "the request did not come whole in time") from None
             raise
 
+    def _hold(self, connection: Connection, size: int) -> None:
+        """Count what is held of a body. Raises BadRequest for a large one when all hold too much together.
+
+        Guards the memory limit, over which the program is killed. Those within an even share always pass, so
+        that a few with large bodies, or many with half of one, cannot keep the others out.
+        """
+        self._held += size
+        held = self._bodies[connection] = self._bodies.get(connection, 0) + size
+        if self._held > self._room and held > self._room // self._limit:
+            raise BadRequest(413, "no room for so large a body now")
+
+    def _release(self, connection: Connection) -> None:
+        self._held -= self._bodies.pop(connection, 0)
+
     def _exchange(
         self, connection: Connection, request: h11.Request, arrival: i.Arrival | None, body: bytes
     ) -> Coroutine[bool]:
--- a/heronstall/net/loop.py
+++ b/heronstall/net/loop.py
@@ -182,12 +182,16 @@
             task = self._waiting.pop(fd, None)
             if task is not None:
                 task.step(mask)
+        self._close_all()  # before anything is opened: what is about to close holds a descriptor still
         while self._timers and self._timers[0][0] <= self.now:
             call = heapq.heappop(self._timers)[2].call
             if call is not None:
                 self._call(call)
         while self._soon:
             self._call(self._soon.popleft())
+        self._close_all()
+
+    def _close_all(self) -> None:
         for sock in self._closing:
             sock.close()
         self._closing.clear()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -117,6 +117,7 @@
     """A node, its discovery and as many backend servers as a story wants."""
 
     sockets: int = 1024
+    memory: float = 192
 
     def setUp(self) -> None:
         logging.disable(logging.CRITICAL)
@@ -127,7 +128,9 @@
         self.ends: list[Peer] = []
         self.loop = Loop()
         self.raw = raw_config(
-            discovery=at(self.discovery), known=self.table(0, 1), limits={"sockets": self.sockets}
+            discovery=at(self.discovery),
+            known=self.table(0, 1),
+            limits={"sockets": self.sockets, "memory_mb": self.memory},
         )
         self.program = Dispatching(configuration(self.raw), self.loop)
         self.front: Frontend = self.program.frontend
@@ -614,6 +617,29 @@
         self.assertIs(take(), Ending.WITHDRAWN)
 
 
+class Memory(Story):
+    sockets, memory = 64, 24
+
+    def test_all_bodies_together_are_bounded_and_small_ones_pass(self) -> None:
+        self.front._room = 100_000  # an even share is 8 KB
+        head = b"POST /api HTTP/1.1\r\nHost: o\r\nReq-Id: %d\r\nReq-Kind: unsafe\r\nReq-Deadline: 9\r\n"
+        large = head + b"Content-Length: 65536\r\n\r\n"
+        halves = [self.client() for _ in range(2)]
+        for n, half in enumerate(halves):
+            half.sock.sendall(large % n + bytes(40_000))
+        self.spin(lambda: self.front._held == 80_000)
+        third = self.client()
+        third.sock.sendall(large % 3 + bytes(40_000))
+        self.assertEqual(self.status(third), 413)
+        self.assertEqual(self.front._held, 80_000)
+        small = self.client()
+        small.sock.sendall(head % 4 + b"Content-Length: 3\r\n\r\npay")
+        self.assertIn(b"Req-Id: 4", self.dispatched().job)
+        for peer in (*halves, small):
+            peer.sock.close()
+        self.spin(lambda: self.front._held == 0)
+
+
 class Discovery(Story):
     def test_the_watch_survives_heartbeats_pieces_breaks_and_nonsense(self) -> None:
         self.spin(lambda: self.watch.read().endswith(b"\r\n\r\n"))
@@ -810,6 +836,7 @@
             ({"seed": "xyz"}, "seed"),
             ({"settings": None}, "settings"),
             ({"limits": {"sockets": "many"}}, "limits.sockets"),
+            ({"limits": {"memory_mb": 1}}, "limits.memory_mb"),
             ({"settings": {**SETTINGS, "tick": 0}}, "settings.tick"),
             (
                 {"settings": {**SETTINGS, "services": [{"name": "x", "aim": 1}]}},
