Give the client 400 where a backend server cannot use its request, and spare the server

A 4xx other than 408 and 429 is the ending UNUSABLE: the client gets 400 at once, the module an outcome that tells nothing of health. A story fails without it: the server was ejected, and the client told 500.

--- a/heronstall/net/backend.py
+++ b/heronstall/net/backend.py
@@ -310,6 +310,14 @@
                 raise Ended(Ending.MALFORMED, f"Srv-Load not JSON: {told[:80]!r}") from None
         if response.status_code in (503, 504) and headers.get(b"srv-declined") == b"1":
             return Ending.RETURNED
+        if 400 <= response.status_code < 500 and response.status_code not in (408, 429):
+            log.warning(
+                "backend server %s: %d for request %s: answered 400",
+                self._server.uid,
+                response.status_code,
+                self._session.job.id,
+            )
+            return Ending.UNUSABLE
         if response.status_code != 200:
             return Ending.FAILED
         lines = Lines(LINE)
--- a/heronstall/net/connection.py
+++ b/heronstall/net/connection.py
@@ -25,6 +25,7 @@
     SERVED = "the answer came"
     FAILED = "the backend server said that it failed"
     RETURNED = "the backend server turned it away or handed it back unstarted"
+    UNUSABLE = "the backend server could not use the request"
     LOST = "the backend server lost the running job"
     REFUSED = "no connection: refused, unreachable or no answer within the connect time-out"
     UNSENT = "broken before the request's last byte was written"
@@ -44,6 +45,7 @@
     Ending.SERVED: "ok",
     Ending.FAILED: "error",
     Ending.RETURNED: "rejected",
+    Ending.UNUSABLE: "cancelled",  # the request's fault: says nothing of the server's health
     Ending.LOST: "reset",
     Ending.REFUSED: "no_connection",
     Ending.UNSENT: "no_connection",
--- a/heronstall/net/dispatcher.py
+++ b/heronstall/net/dispatcher.py
@@ -25,7 +25,7 @@
 class Answer(NamedTuple):
     """The final answer to a session, in no protocol's words. Times are microseconds."""
 
-    kind: Literal["served", "refused", "failed"]
+    kind: Literal["served", "refused", "failed", "unusable"]
     body: bytes = b""
     retry_after: int = 0
 
@@ -122,6 +122,9 @@
         session.open = None
         if ending is Ending.SERVED:
             self._answer(session.number, Answer("served", result))
+        elif ending is Ending.UNUSABLE:
+            # Guards healthy servers: what the client sent is at fault, and no other server could use it.
+            self._answer(session.number, Answer("unusable"))
         self.post(
             i.Outcome(session.number, server.number, index, session.over, OUTCOME[ending], latency, report)
         )
--- a/heronstall/net/frontend.py
+++ b/heronstall/net/frontend.py
@@ -383,6 +383,8 @@
         elif answer.kind == "refused":
             wait = [(b"Retry-After", b"%.3f" % (answer.retry_after / 1e6))] if answer.retry_after else []
             yield from self._say(connection, 503, [TEXT, *wait], b"refused\n")
+        elif answer.kind == "unusable":
+            yield from self._say(connection, 400, [TEXT], b"no backend server can use this request\n")
         else:
             yield from self._say(connection, 500, [TEXT], b"failed\n")
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -361,6 +361,17 @@
             else:
                 self.assertEqual(self.status(client), 500, word)
 
+    def test_a_request_that_a_backend_server_cannot_use_speaks_not_against_the_server(self) -> None:
+        for n, status in enumerate((b"400 x", b"404 x", b"413 x")):
+            client = self.ask(name=f"id-{n}", kind=("unsafe", "keyed")[n % 2])
+            server = self.dispatched()
+            server.sock.sendall(b"HTTP/1.1 " + status + b"\r\nContent-Length: 0\r\n\r\n")
+            self.assertEqual(self.status(client), 400)
+            self.rest(0.02)
+        workers = self.front._dispatcher._balancer._workers.values()
+        self.assertTrue(all(w.ejected_until < 0 and not w.failures and not w.trial for w in workers))
+        self.assertFalse(self.front._dispatcher._sessions)
+
     def test_what_was_made_for_another_request_is_served_to_nobody(self) -> None:
         client = self.ask()
         server = self.dispatched()
