Count an attempt that missed its notes of progress no longer as in flight

Checked with a probe of what the decisions believe, second by second, beside the last report: server w8 reported 5.3 slots free and 1.0 in hand, while 6 own attempts counted there, five of them without a note for 1.4 to 2.6 s (notes come every second). At 14.4 s all nine servers looked full so, and 78 jobs waited. Ruled out: doubt of a class (two variants, no change here).

Lines at fault: `_report` bounded what is free by size less own in flight, and a dead attempt counted until its deadline of 5 s.

--- a/heronstall/decide.py
+++ b/heronstall/decide.py
@@ -32,6 +32,7 @@
 MOVE_WAIT = SECOND  # before an attempt that has not started is moved: its work may run on
 SILENCE = SECOND  # an attempt not started by then, at a worker that reports room, is left unanswered
 DOUBT, DOUBT_FOR = 0.05, 15 * SECOND  # weight of a worker not proven meanwhile, and how long doubt lasts
+QUIET = 1.5  # times between notes of progress, after which an attempt counts as dead and its slot as free
 BREAKS = 1.0  # broken connections that a worker is allowed; each job that it serves halves their number
 EJECT_SHARE, EJECT_LONGEST = 0.4, 16.0  # share of workers ejected for failing, seconds of one: at the most
 RETRY_SHARE, RETRY_BURST = 0.2, 20.0  # retries earned by an arrival, and saved up at the most
@@ -50,6 +51,7 @@
         self.size = 0.0  # slots, averaged over reports
         self.own = 0.0  # own slots in flight
         self.waiting: dict[tuple[int, int], _Attempt] = {}  # own attempts not known to have started
+        self.running: dict[tuple[int, int], _Attempt] = {}  # own attempts that have started
         self.changes: deque[tuple[int, float, float]] = deque()  # own slots, memory taken (<0) or returned
         self.cold_sent: deque[tuple[int, float]] = deque()  # work sent while cold
         self.forget()
@@ -247,6 +249,8 @@
             if attempt.started is None:
                 attempt.started = now
                 attempt.worker.waiting.pop((job.id, index), None)
+                if attempt.out:
+                    attempt.worker.running[job.id, index] = attempt
                 proven = self._proven.get(job.cls)
                 if proven is not None and attempt.worker not in proven:
                     proven.append(attempt.worker)
@@ -264,7 +268,8 @@
         attempt.out = False
         attempt.maybe_ran = e.status not in i.PROVES_NOT_RUN
         worker.waiting.pop((job.id, e.attempt), None)
-        self._take(now, worker, job, -1.0)
+        worker.running.pop((job.id, e.attempt), None)
+        self._take(now, worker, job, -1.0, not self._gone_quiet(now, attempt))
         self._health(now, attempt, e)
         if e.ended and not job.done:
             self._end(job)
@@ -330,14 +335,24 @@
         for a in worker.waiting.values():
             if now - a.sent > SILENCE and r.free_slots >= a.job.slots:
                 self._doubt(now, a)
-        worker.free = min(r.free_slots + sum(change[1] for change in newer), worker.size - worker.own)
+        # Own attempts bound what a late report says is free, but not those that have gone quiet: their
+        # connections are dead, and each would take a slot from a worker that has it free until its deadline.
+        own = worker.own - sum(a.job.slots for a in worker.running.values() if self._gone_quiet(now, a))
+        worker.free = min(r.free_slots + sum(change[1] for change in newer), worker.size - own)
         if r.free_memory is not None:
             worker.memory = max(0.0, r.free_memory + sum(change[2] for change in newer))
         self._track(worker)
 
-    def _take(self, now: int, worker: _Worker, job: _Job, sign: float) -> None:
-        """A job takes its room at a worker (sign 1) or gives it back (-1)."""
+    def _gone_quiet(self, now: int, a: _Attempt) -> bool:
+        """Whether a started attempt has missed its notes of progress."""
+        missed = int(QUIET * self._set.progress)
+        return a.started is not None and 0 < missed < now - a.last_sign
+
+    def _take(self, now: int, worker: _Worker, job: _Job, sign: float, held: bool = True) -> None:
+        """A job takes its room at a worker (sign 1) or gives it back (-1), if it was held to the end."""
         worker.own = max(0.0, worker.own + sign * job.slots)
+        if not held:
+            return
         worker.free -= sign * job.slots
         worker.memory -= sign * job.memory
         while worker.changes and worker.changes[0][0] < now - REPORT_LAG:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -672,6 +672,30 @@
         assert fewest <= given <= most
 
 
+def test_attempts_that_missed_their_notes_of_progress_hold_no_slot() -> None:
+    for quiet in (True, False):
+        w = World(make_settings(nodes=1, progress=S, cold=0))
+        w.fleet(WorkerEntry(1, zone=0))
+        for n in range(4):  # they fill it
+            w.request(n, 1, work=100 * MS)
+            w.started(n)
+        for _ in range(4):
+            w.now += 400 * MS
+            if not quiet:
+                for n in range(4):
+                    w.step(JobNote(n, 1, 0, 0.1))
+            w.report(1, free=4.0)  # it says that it has none of them, or tells of a moment long past
+        w.request(9, 1, work=100 * MS)
+        assert bool(w.sends()) is quiet
+        if quiet:
+            w.outcome(0, "timeout")
+            sent = 0
+            for n in range(10, 16):
+                w.request(n, 1, work=100 * MS)
+                sent += len(w.sends())
+            assert sent == 3, "the end of one gives back no slot that it did not hold"
+
+
 def test_all_slow_at_once_ejects_nobody_and_sends_no_storm() -> None:
     w = World()
     w.fleet(*workers(6))
