Open the watch again after one missed heartbeat, not after two

Cause: a watch counted as dead after 5 s without a line (`SILENCE`), though one comes every 2 s. It is 2.6 s now; asking again costs the agent nothing and brings what was missed.

--- a/heronstall/net/server_table.py
+++ b/heronstall/net/server_table.py
@@ -19,7 +19,10 @@
     "DRAINING": "leaving",
     "DELETED": "left",
 }
-SILENCE = 5_000_000  # a heartbeat comes every 2 s: after two missed ones the watch counts as dead
+HEARTBEAT = 2_000_000  # an empty line comes at least as often
+# A watch that has missed one counts as dead. Guards against one that falls silent while servers come and go:
+# to ask again costs nothing, and what was missed comes first.
+SILENCE = HEARTBEAT + 600_000
 PAUSE, LONGEST_PAUSE = 100_000, 2_000_000  # between attempts at a new watch
 UNHEARD_PAUSE = 200_000  # the same at an address that has yet to answer: news from there is overdue
 CONNECT_TIME = 1_000_000
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -26,6 +26,7 @@
 from heronstall import interface as i
 from heronstall.__main__ import Program as Dispatching
 from heronstall.config import ConfigError, configuration
+from heronstall.net import server_table
 from heronstall.net.backend import Pool, read_report
 from heronstall.net.connection import Buffer, Connection, Ended, Ending, Lines
 from heronstall.net.frontend import Frontend
@@ -676,6 +677,18 @@
         self.servers = [self.servers[1]]
         self.dispatched()
 
+    def test_a_watch_that_misses_a_heartbeat_is_opened_again_where_it_ended(self) -> None:
+        self.assertLess(server_table.SILENCE, 2 * server_table.HEARTBEAT)
+        self.assertGreater(server_table.SILENCE, server_table.HEARTBEAT)
+        with mock.patch("heronstall.net.server_table.SILENCE", 300_000):
+            self.watch.sock.sendall(STREAM)
+            self.watch.say(json.dumps(self.table(0, 1, rev=5)))
+            again = self.accept(self.discovery)
+            self.spin(lambda: b"after=5 " in again.read())
+        self.assertTrue(self.gone(self.watch))
+        self.ask()  # the table stays valid meanwhile
+        self.dispatched()
+
     def reload(self, **changes: Any) -> list[str]:
         """SIGHUP with a changed file, under a NODE_DISCOVERY that told of the start; what was logged."""
         with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
