Take a refused connection for no restart while own jobs run there

Line at fault: `_health` set `started_at` at each no_connection. A restart breaks every attempt that runs there, so while one does, there was none.

--- a/heronstall/decide.py
+++ b/heronstall/decide.py
@@ -654,10 +654,11 @@
 
     def _health(self, now: int, attempt: _Attempt, e: i.Outcome) -> None:
         w = attempt.worker
-        if e.status == "no_connection":
-            # Likely a restart that the list has yet to tell of: cold from now on. A broken connection is no
-            # such sign: workers that live on, and the way there, break them too, and a whole fleet taken for
-            # cold refuses most jobs. Harm: after a link mends, its workers warm up again.
+        if e.status == "no_connection" and not w.running:
+            # Likely a restart that the list has yet to tell of: cold from now on. Not so while own attempts
+            # run there, for a restart breaks them all; nor is one that breaks such a sign. Workers that live
+            # on, and the way there, break and turn down connections too, and a whole fleet taken for cold
+            # refuses most jobs. Harm: after a link mends, its idle workers warm up again.
             w.started_at = now
         if e.status == "ok":
             w.last_sign = now
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -630,10 +630,15 @@
     assert busiest and busiest[0][1] <= 4, "the backlog does not go to one place"
 
 
-def sends_to_first_in_a_second(status: Status, cls: int, classes: tuple[RequestClass, ...] = CLASSES) -> int:
+def sends_to_first_in_a_second(
+    status: Status, cls: int, classes: tuple[RequestClass, ...] = CLASSES, running: bool = False
+) -> int:
     """Jobs that worker 1 of two gets in the second after an attempt there ended so."""
     w = World(make_settings(nodes=1, classes=classes))
     w.fleet(*(WorkerEntry(n, zone=0) for n in (1, 2)))
+    for n in range(80, 86) if running else ():
+        w.request(n, 1, work=100 * MS)
+        w.started(n)
     end_one_at_first(w, status, cls, work=100 * MS)
     w.now += 1500 * MS
     count = 0
@@ -653,6 +658,9 @@
     assert warm > 20
     assert 0 < sends_to_first_in_a_second("no_connection", 1) < 0.7 * warm
     assert sends_to_first_in_a_second("reset", 1) > 0.7 * warm
+    # While other jobs run there it has not restarted: it only turned a connection down.
+    usual = sends_to_first_in_a_second("rejected", 1, running=True)
+    assert sends_to_first_in_a_second("no_connection", 1, running=True) > 0.7 * usual > 10
 
 
 def test_connections_that_break_now_and_then_eject_nobody_and_a_black_hole_is_ejected() -> None:
