Add a fleet of our own in virtual time and on loopback, its audit, and the heronstall command

Change: heronstall/fleet holds servers, ways, discovery, traffic, clients, troubles, the audit and the score, free of clock and sockets; heronstall/model plays them in virtual time round the live Dispatcher, ServerTable and decisions; heronstall/lab plays the same objects on 127.0.0.0/8 against real processes; heronstall/records reads scenarios as typed records after CUE; heronstall/cli and report are thin on top. Dispatcher names what it needs of its loop, table and decisions as protocols, ServerTable.take is public; nothing else of the live program changes.

--- /dev/null
+++ b/heronstall/fleet/ways.py
@@ -0,0 +1,51 @@
+"""The ways between zones: how long a message is under way, and zones that are cut off."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from heronstall.fleet.spec import Scenario
+from heronstall.fleet.streams import Streams, Table, exponentials
+from heronstall.fleet.timeline import Timeline
+
+HANDSHAKE_TRIPS = 2  # ways until a connection is up, as seen by whoever opens it
+
+
+class Ways:
+    """One-way times by pair of zones. What meets a cut waits for its end; new connections do not come up."""
+
+    def __init__(self, scenario: Scenario, streams: Streams, timeline: Timeline) -> None:
+        self._time, self._jitter = timeline, scenario.jitter
+        count = len(scenario.zones)
+        self._base: list[list[float]] = [[0.0] * count for _ in range(count)]
+        self._extra: list[list[Table]] = []
+        for a in range(count):
+            self._extra.append([])
+            for b in range(count):
+                low, high = min(a, b), max(a, b)
+                figure = scenario.within if a == b else scenario.between
+                self._base[a][b] = streams.figure(figure, "way", low, high)
+                self._extra[a].append(exponentials(streams, "way", a, b, "jitter"))
+        self._cut = [0] * count  # troubles that cut the zone off
+        self.on_heal: list[Callable[[int], None]] = []
+        self.on_cut: list[Callable[[int], None]] = []
+
+    def time(self, a: int, b: int, message: int) -> int:
+        """Microseconds from zone to zone for the message of this number."""
+        base = self._base[a][b]
+        return int(base * (1.0 + self._jitter * self._extra[a][b][message]))
+
+    def open(self, a: int, b: int) -> bool:
+        """Whether anything gets through at present."""
+        return a == b or not (self._cut[a] or self._cut[b])
+
+    def cut(self, zone: int, on: bool) -> None:
+        """Cut a zone off from the others, or mend it."""
+        before = self._cut[zone]
+        self._cut[zone] = before + (1 if on else -1)
+        if on and not before:
+            for call in self.on_cut:
+                call(zone)
+        elif not on and not self._cut[zone]:
+            for call in self.on_heal:
+                call(zone)
--- a/heronstall/net/dispatcher.py
+++ b/heronstall/net/dispatcher.py
@@ -8,15 +8,14 @@
 
 import logging
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, Literal, NamedTuple, Protocol
 
 from heronstall import interface as i
 from heronstall.config import Config
 from heronstall.decide import Balancer
 from heronstall.net.connection import OUTCOME, Ending
-from heronstall.net.loop import Loop, Timer
-from heronstall.net.server_table import BackendServer, ServerTable
+from heronstall.net.server_table import BackendServer
 
 REPORT_EVERY = 10_000_000
 log = logging.getLogger("heronstall.dispatcher")
@@ -50,6 +49,38 @@
         """Ask for a report; one `ProbeResult` is posted for it."""
 
 
+class Due(Protocol):
+    """A call to come."""
+
+    def cancel(self) -> None:
+        """Have it not come."""
+
+
+class Clock(Protocol):
+    """What of a loop the dispatcher uses; `heronstall.model` brings one of virtual time."""
+
+    now: int
+
+    def soon(self, call: Callable[[], None]) -> None:
+        """Make a call once the events in hand are seen to."""
+
+    def at(self, when: int, call: Callable[[], None]) -> Due:
+        """Make a call at a moment or just after it."""
+
+
+class Table(Protocol):
+    """What of the server table the dispatcher uses."""
+
+    by_number: dict[int, BackendServer]
+
+
+class Decisions(Protocol):
+    """The decision module, as its host sees it."""
+
+    def handle(self, now: int, events: Sequence[i.Event]) -> list[i.Action]:
+        """Take the events of one moment and say what to do."""
+
+
 class Session:
     """One request of a client, from its last byte to its one final answer."""
 
@@ -67,15 +98,15 @@
 class Dispatcher:
     """Sessions in, dispatches out."""
 
-    def __init__(self, config: Config, loop: Loop) -> None:
+    def __init__(self, config: Config, loop: Clock, decisions: Decisions | None = None) -> None:
         self._loop = loop
-        self._balancer = Balancer(config.settings, config.seed)
+        self._balancer: Decisions = decisions or Balancer(config.settings, config.seed)
         self._sessions: dict[int, Session] = {}
         self._events: list[i.Event] = []
-        self._timer: Timer | None = None
+        self._timer: Due | None = None
         self._next = 1
         self._counts: Counter[str] = Counter()
-        self.table: ServerTable
+        self.table: Table
         self.backend: Backend
         loop.at(loop.now + REPORT_EVERY, self._report)
 
--- a/heronstall/net/server_table.py
+++ b/heronstall/net/server_table.py
@@ -72,7 +72,7 @@
         rev = None
         if self._config.known is not None:
             try:
-                rev = self._take(self._config.known, persisted=True)
+                rev = self.take(self._config.known, persisted=True)
             except Ended as ended:
                 log.warning("known list ignored: %s", ended)
         self._begin(_Watch(self._config.discovery, rev))
@@ -146,7 +146,7 @@
                         message = ujson.loads(line)
                     except ValueError:
                         raise Ended(Ending.MALFORMED, f"not JSON: {line[:80]!r}") from None
-                    watch.rev = self._take(message)
+                    watch.rev = self.take(message)
                     if not watch.heard:
                         self._first_heard(watch)
             elif isinstance(event, (h11.EndOfMessage, h11.ConnectionClosed)):
@@ -165,8 +165,8 @@
                 self._former.task.kill()
             self._former = None
 
-    def _take(self, message: Any, persisted: bool = False) -> int:
-        """One list; its revision. It is read whole before it counts: half a list changes nothing."""
+    def take(self, message: Any, persisted: bool = False) -> int:
+        """One list; its revision. Raises Ended for a malformed one, of which nothing counts."""
         try:
             rev, whole = int(message["rev"]), bool(message["all"])
             rows = [self._entry(row) for row in message["targets"]]
--- /dev/null
+++ b/heronstall/records/schemas/scenario.cue
@@ -0,0 +1,166 @@
+// A scenario: a fleet, its traffic and what goes wrong. Read by `heronstall model` and `heronstall lab`.
+// A figure may be a range [low, high]; each seed then draws its own.
+#Figure: number & >=0 | [number & >=0, number & >=0]
+#Part:   number & >=0 & <=1
+
+#File: #Scenario
+
+#Scenario: {
+	name:    string & =~"^[a-z0-9-]+$"
+	about:   *"" | string
+	seconds: *30 | number & >0 & <=3600     // of arrivals
+	warm_s:  *1 | number & >=0 & <=600      // arrivals before it are answered but not counted
+
+	zones: [string]: #Zone
+	links: #Links
+	kinds: [string]: #Kind
+	discovery: #Discovery
+	reports:   #Reports
+	clients:   #Clients
+	classes: [string]: #Class
+	tenants: [string]: #Tenant
+	arrivals: #Arrivals
+	limits:   #Limits
+	rules:    #Rules
+	goal:     #Goal
+	prices:   #Prices
+	troubles: *[] | [...#Trouble]
+}
+
+#Zone: {
+	dispatchers: int & >=0 & <=1000
+	servers:     int & >=0 & <=10000
+	traffic:     *1 | number & >=0       // its part of all traffic, as a weight
+}
+
+#Links: {
+	within_ms:  *0.3 | #Figure           // one way, inside a zone
+	between_ms: *[10, 20] | #Figure      // one way, drawn for each pair of zones
+	jitter:     *0.1 | #Part             // mean of an exponential addition, as a part of the way
+}
+
+#Kind: {
+	share:        *1 | number & >0
+	cores:        int & >=1 & <=256
+	slots:        int & >=1 & <=1024
+	speed:        *1 | #Figure           // of a core; work is counted in ms at speed 1
+	queue:        *20 | int & >=0 & <=100000
+	crowding:     *0.03 | #Part          // efficiency lost for each job beyond the cores
+	errors:       *0 | #Part             // of jobs, that end in an error
+	handshake_ms: *0.5 | #Figure         // work of a new connection
+	probe_ms:     *0.3 | #Figure         // work of a probe
+	connections:  *512 | int & >=1
+	idle_s:       *5 | number & >0       // idle connections are closed after it at the latest
+	cold_s:       *8.6 | number & >=0    // from a start until it is warm
+	cold_from:    *0.31 | number & >0 & <=1
+	drops:        *true | bool           // waiting work whose sender has gone is dropped
+	hands_back:   *true | bool           // a draining server hands back what has not started
+}
+
+#Discovery: {
+	delay_s: *[0.5, 3] | #Figure         // from a change to its telling, drawn for each dispatcher
+	blind_s: *20 | #Figure               // until it notices a machine that went without a word
+}
+
+#Reports: {
+	via:      *"answers" | "probe" | "none"
+	every_ms: *[640, 1500] | #Figure
+	noise:    *0.05 | #Part
+	probes:   *true | bool
+	notes:    *true | bool               // servers tell of starts and progress
+	progress_s: *1 | number & >0
+}
+
+#Clients: {
+	retries:    *2 | int & >=0 & <=10
+	wait_s:     *[0.1, 0.4] | #Figure    // before the first retry; doubled for each further one
+	honours:    *true | bool             // waits out Retry-After
+	front_s:    *2 | #Figure             // until the front notices a dispatcher that died
+	skew:       *0.6 | number & >=0 & <=4 // sigma of the dispatchers' parts of their zone's traffic
+}
+
+#Class: {
+	share:      *1 | number & >0
+	effect:     "safe" | "keyed" | "unsafe"
+	group:      *"zone" | "all" | "cell"
+	aim_ms:     number & >0
+	stretch:    *2.5 | number & >=0      // own work so many times is added to the aim
+	deadline_s: number & >0 & <=600
+	worth:      *1 | number & >0
+	priority:   *0 | int
+	window_s:   *10 | number & >0        // in which repeats of a keyed job are dropped
+	work:       #Work
+	hint:       *0.3 | number & >=0      // sigma of the cost that clients say; rough
+}
+
+#Work: {kind: "fixed", mean_ms: #Figure} |
+	{kind: "lognormal", mean_ms: #Figure, sigma: *0.6 | number & >=0 & <=3} |
+	{kind: "pareto", mean_ms: #Figure, alpha: *2.2 | number & >1, most: *20 | number & >1}
+
+#Tenant: {
+	share:   number & >0 & <=1           // of what the fleet can do
+	traffic: *0 | number & >=0           // its part of the traffic; 0: as its share
+}
+
+#Arrivals: {
+	rate_per_s: number & >0
+	bursts:     *1 | number & >0 & <=50  // coefficient of variation of the gaps; 1 is Poisson
+	shape: *[] | [...#Shape]
+}
+
+#Shape: {kind: "wave", period_s: number & >0, size: #Part} |
+	{kind: "surge", at_s: number & >=0, for_s: number & >0, times: number & >0, ramp_s: *1 | number & >=0}
+
+#Limits: {
+	attempts:          *5 | int & >=1 & <=20
+	connect_ms:        *250 | number & >0
+	keepalive_s:       *5 | number & >0
+	retry_after_s:     *2 | number & >=0
+	memory_mb:         *192 | int & >=24
+	sockets:           *1024 | int & >=64
+	tick_ms:           *5 | number & >0
+}
+
+#Rules: {
+	drain_s:       *2 | number & >0
+	fall_s:        *1 | number & >0
+	fall_multiple: *3 | number & >0
+	grace_ms:      *20 | number & >=0
+	overshare:     *0.2 | #Part
+}
+
+#Goal: {
+	whole:        *0.45 | #Part
+	worst_window: *0.05 | #Part
+	worst_class:  *0.40 | #Part
+	worst_tenant: *0.10 | #Part
+}
+
+#Prices: {
+	waste:     *0.17 | number & >=0
+	cross:     *0.025 | number & >=0
+	late_fail: *0.024 | number & >=0
+	probe:     *0.002 | number & >=0
+}
+
+// Servers are picked by a part of them, drawn by the seed, or by zone.
+#Trouble: #Silent | #Vanish | #Kill | #Release | #ColdFleet | #Slow | #LateReports | #HeavyTail | #ZoneCut |
+	#DispatcherCrash | #DispatcherRestart | #Resets | #Stale | #DiscoverySilent
+
+#When: {at_s: number & >=0, for_s: number & >0}
+#Where: {part: *0.15 | #Part, zone?: string}
+
+#Silent:            {kind: "silent", at_s: #When.at_s, for_s: #When.for_s, part: #Where.part, zone?: string, stands: *true | bool}
+#Vanish:            {kind: "vanish", at_s: #When.at_s, for_s: #When.for_s, part: #Where.part, zone?: string}
+#Kill:              {kind: "kill", at_s: #When.at_s, for_s: #When.for_s, part: #Where.part, zone?: string}
+#Release:           {kind: "release", at_s: #When.at_s, for_s: #When.for_s, part: #Where.part, zone?: string, back_s: *1 | number & >=0}
+#ColdFleet:         {kind: "cold-fleet", at_s: #When.at_s}
+#Slow:              {kind: "slow", at_s: #When.at_s, for_s: #When.for_s, part: *1 | #Part, zone?: string, times: number & >=1}
+#LateReports:       {kind: "late-reports", at_s: #When.at_s, for_s: #When.for_s, add_s: number & >0}
+#HeavyTail:         {kind: "heavy-tail", at_s: #When.at_s, for_s: #When.for_s, class: string, share: #Part, times: number & >=1}
+#ZoneCut:           {kind: "zone-cut", at_s: #When.at_s, for_s: #When.for_s, zone: string}
+#DispatcherCrash:   {kind: "dispatcher-crash", at_s: #When.at_s, for_s: #When.for_s, part: *0.34 | #Part}
+#DispatcherRestart: {kind: "dispatcher-restart", at_s: #When.at_s, for_s: #When.for_s, part: *0.34 | #Part}
+#Resets:            {kind: "resets", at_s: #When.at_s, for_s: #When.for_s, share: #Part}
+#Stale:             {kind: "stale", at_s: #When.at_s, for_s: #When.for_s, after_s: number & >0}
+#DiscoverySilent:   {kind: "discovery-silent", at_s: #When.at_s, for_s: #When.for_s}
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -20,12 +20,13 @@
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 from unittest import mock
 
 from heronstall import interface as i
 from heronstall.__main__ import Program as Dispatching
 from heronstall.config import ConfigError, configuration
+from heronstall.decide import Balancer
 from heronstall.net import server_table
 from heronstall.net.backend import Pool, read_report
 from heronstall.net.connection import Buffer, Connection, Ended, Ending, Lines
@@ -369,7 +370,7 @@
             server.sock.sendall(b"HTTP/1.1 " + status + b"\r\nContent-Length: 0\r\n\r\n")
             self.assertEqual(self.status(client), 400)
             self.rest(0.02)
-        workers = self.front._dispatcher._balancer._workers.values()
+        workers = cast(Balancer, self.front._dispatcher._balancer)._workers.values()
         self.assertTrue(all(w.ejected_until < 0 and not w.failures and not w.trial for w in workers))
         self.assertFalse(self.front._dispatcher._sessions)
 
@@ -753,7 +754,7 @@
         self.watch.sock.sendall(STREAM)
         self.watch.say(json.dumps(moved))
         self.spin(lambda: server.endpoint == self.servers[2].getsockname())
-        worker = self.front._dispatcher._balancer._workers[server.number]
+        worker = cast(Balancer, self.front._dispatcher._balancer)._workers[server.number]
         self.assertLess(
             abs(worker.started_at - self.loop.now), 60_000_000
         )  # Unix time on the program's clock
