Make every log line an event with fields, in plain, logfmt or JSON, set in the operator's file

Change: heronstall/events.py names all 25 lines with their fields, say() logs them; the plain form is letter for letter what it was. heronstall/operator.py reads the operator's file: a .cue file is checked in a process of its own, a .json file of it is read as it is, so that run imports no parser. logfmt and JSON stand on logfmter and python-json-logger (extra `logs`), imported only where asked for.

All five planted faults are caught by their own rule alone in the lab too, the program that dies by `crash`; the real program keeps every rule.

--- a/heronstall/__main__.py
+++ b/heronstall/__main__.py
@@ -11,12 +11,15 @@
 import time
 from collections.abc import Mapping
 
+from heronstall import events
 from heronstall.config import Config, ConfigError, fixed_changes, load, reload
+from heronstall.events import say
 from heronstall.net.backend import HttpBackend, Pool
 from heronstall.net.dispatcher import Dispatcher
 from heronstall.net.frontend import Frontend
 from heronstall.net.loop import READ, Coroutine, Loop, clock
 from heronstall.net.server_table import ServerTable
+from heronstall.operator import Operator, OperatorError, read, start_logging
 
 RESERVED = (
     40  # descriptors for the standard streams, epoll, the listener, the watch and what closes meanwhile
@@ -53,7 +56,7 @@
                 if number == signal.SIGHUP:
                     self.reload(os.environ)
                 elif number in ENDS:
-                    log.info("%s: draining", signal.Signals(number).name)
+                    say(log, events.DRAINING, signal=signal.Signals(number).name)
                     self.frontend.drain()
 
     def reload(self, environ: Mapping[str, str]) -> None:
@@ -61,11 +64,11 @@
         try:
             config = reload(environ)
         except ConfigError as error:
-            log.error("SIGHUP: configuration not taken: %s", error)
+            say(log, events.RELOAD_WRONG, reason=str(error))
             return
         for key in fixed_changes(self.config, config):
-            log.warning("SIGHUP: %s has changed and takes a restart: goes on as before", key)
-        log.info("SIGHUP: configuration read again, discovery %s:%d", *config.discovery)
+            say(log, events.RELOAD_FIXED, key=key)
+        say(log, events.RELOADED, host=config.discovery[0], port=config.discovery[1])
         self.table.follow(config.discovery)
 
 
@@ -84,24 +87,30 @@
     """Serve until SIGTERM or SIGINT; 2 for a wrong configuration."""
     # First of all: guards against a reload or restart that comes early and would kill the process.
     waker = _catch_signals()
-    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
+    start_logging(Operator())
+    try:
+        start_logging(read(os.environ))
+    except OperatorError as error:
+        say(log, events.SETTINGS_WRONG, reason=str(error))
+        return 2
     try:
         config = load(os.environ)
     except ConfigError as error:
-        log.error("configuration: %s", error)
+        say(log, events.CONFIG_WRONG, reason=str(error))
         return 2
     loop = Loop()
+    host, port = config.listen
     try:
         program = Program(config, loop)
     except OSError as error:
-        log.error("cannot listen on %s:%d: %s", *config.listen, error)
+        say(log, events.LISTEN_FAILED, host=host, port=port, reason=str(error))
         return 1
     loop.spawn(program.signals(waker), "signals")
     gc.freeze()
     gc.set_threshold(50_000, 20, 100)
-    log.info("%s listens on %s:%d", config.name, *config.listen)
+    say(log, events.STARTED, node=config.name, host=host, port=port)
     loop.run()
-    log.info("%s has answered everything and ends", config.name)
+    say(log, events.ENDED, node=config.name)
     return 0
 
 
--- /dev/null
+++ b/heronstall/events.py
@@ -0,0 +1,83 @@
+"""Every line that the live program logs, as an event: a name, a level, a text for people, and typed fields.
+
+docs/oncall.md explains each one under its name; a test holds the two lists together. In the `plain` form a
+line is its text, as ever; in `logfmt` and `json` it is the event's name and its fields.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import NamedTuple
+
+Field = str | int | float | None
+
+
+class Event(NamedTuple):
+    """A kind of line. `text` is filled in with the fields, %-style."""
+
+    name: str
+    level: int
+    text: str
+
+
+INFO, WARNING, ERROR = logging.INFO, logging.WARNING, logging.ERROR
+
+CONFIG_WRONG = Event("config.wrong", ERROR, "configuration: %(reason)s")
+SETTINGS_WRONG = Event("settings.wrong", ERROR, "settings: %(reason)s")
+LISTEN_FAILED = Event("listen.failed", ERROR, "cannot listen on %(host)s:%(port)d: %(reason)s")
+STARTED = Event("started", INFO, "%(node)s listens on %(host)s:%(port)d")
+DRAINING = Event("draining", INFO, "%(signal)s: draining")
+ENDED = Event("ended", INFO, "%(node)s has answered everything and ends")
+RELOAD_WRONG = Event("reload.wrong", ERROR, "SIGHUP: configuration not taken: %(reason)s")
+RELOAD_FIXED = Event(
+    "reload.fixed", WARNING, "SIGHUP: %(key)s has changed and takes a restart: goes on as before"
+)
+RELOADED = Event("reloaded", INFO, "SIGHUP: configuration read again, discovery %(host)s:%(port)d")
+WATCH_ANSWERED = Event(
+    "watch.answered", INFO, "watch on %(host)s:%(port)d answered, revision %(rev)s, %(servers)d servers"
+)
+WATCH_ENDED = Event(
+    "watch.ended",
+    WARNING,
+    "watch on %(host)s:%(port)d ended, table of revision %(rev)s stays valid: %(reason)s",
+)
+KNOWN_IGNORED = Event("known.ignored", WARNING, "known list ignored: %(reason)s")
+STATE_UNKNOWN = Event(
+    "server.state_unknown", WARNING, "server %(server)s has the unknown state %(state)r: taken as draining"
+)
+COUNTS = Event("counts", INFO, "last 10 s: sessions open=%(open)d; %(counts)s")
+DECISIONS = Event("decisions", INFO, "decisions: %(text)s")
+ACCEPT_FAILED = Event("accept.failed", WARNING, "cannot accept: %(reason)s")
+NO_DESCRIPTOR = Event("backend.no_descriptor", WARNING, "no descriptor left for backend server %(server)s")
+UNUSABLE = Event(
+    "backend.unusable",
+    WARNING,
+    "backend server %(server)s: %(status)d for request %(request)s: answered 400",
+)
+MALFORMED_ANSWER = Event(
+    "backend.malformed", WARNING, "backend server %(server)s: malformed answer: %(reason)s"
+)
+MALFORMED_PROBE = Event(
+    "probe.malformed", WARNING, "backend server %(server)s: malformed answer to a probe: %(reason)s"
+)
+NO_ANSWER = Event("session.no_answer", ERROR, "session %(request)s had no answer by its deadline")
+LATE_IN_DRAIN = Event(
+    "session.late_in_drain", WARNING, "session %(request)s came late in a drain: failed before the kill"
+)
+NOT_MADE = Event("dispatch.not_made", ERROR, "dispatch %(dispatch)d of session %(session)d not made")
+UNKNOWN_SESSION = Event("dispatch.unknown_session", ERROR, "decisions sent unknown session %(session)d")
+UNEXPECTED = Event("unexpected", ERROR, "unexpected error in %(where)s")
+
+ALL = tuple(value for value in list(vars().values()) if isinstance(value, Event))
+
+
+def say(log: logging.Logger, event: Event, /, **fields: Field) -> None:
+    """Log an event. Inside an `except` clause, `UNEXPECTED` brings its traceback."""
+    if log.isEnabledFor(event.level):
+        log.log(
+            event.level,
+            event.text,
+            fields,
+            exc_info=event is UNEXPECTED,
+            extra={"event": event.name, "fields": fields},
+        )
--- a/heronstall/net/backend.py
+++ b/heronstall/net/backend.py
@@ -10,8 +10,10 @@
 import h11
 import ujson
 
+from heronstall import events
 from heronstall import interface as i
 from heronstall.config import Address, Config
+from heronstall.events import say
 from heronstall.net.connection import BODY_LIMIT, Connection, Ended, Ending, Lines, connect
 from heronstall.net.dispatcher import Dispatcher, Session
 from heronstall.net.loop import Coroutine, Loop, Task
@@ -94,7 +96,7 @@
 
     def _fresh(self, server: BackendServer, until: int) -> Coroutine[Connection]:
         if len(self._open) + self._connecting >= self._limit and not self._close_idlest():
-            log.warning("no descriptor left for backend server %s", server.uid)
+            say(log, events.NO_DESCRIPTOR, server=server.uid)
             raise Ended(Ending.WITHDRAWN)
         origin = (server.endpoint, server.boot_ms)
         self._connecting += 1
@@ -218,7 +220,7 @@
         except Ended as ended:
             ok = False
             if ended.ending is Ending.MALFORMED:
-                log.warning("backend server %s: malformed answer to a probe: %s", server.uid, ended)
+                say(log, events.MALFORMED_PROBE, server=server.uid, reason=str(ended))
         finally:
             self._probes -= 1
             if connection is not None:
@@ -281,9 +283,9 @@
         except Ended as ended:
             ending = ended.ending
             if ending is Ending.MALFORMED:
-                log.warning("backend server %s: malformed answer: %s", self._server.uid, ended)
+                say(log, events.MALFORMED_ANSWER, server=self._server.uid, reason=str(ended))
         except Exception:
-            log.exception("unexpected error in a dispatch to backend server %s", self._server.uid)
+            say(log, events.UNEXPECTED, where=f"a dispatch to backend server {self._server.uid}")
         finally:
             if connection is not None:
                 pool.close(connection)
@@ -311,11 +313,12 @@
         if response.status_code in (503, 504) and headers.get(b"srv-declined") == b"1":
             return Ending.RETURNED
         if 400 <= response.status_code < 500 and response.status_code not in (408, 429):
-            log.warning(
-                "backend server %s: %d for request %s: answered 400",
-                self._server.uid,
-                response.status_code,
-                self._session.job.id,
+            say(
+                log,
+                events.UNUSABLE,
+                server=self._server.uid,
+                status=response.status_code,
+                request=self._session.job.id,
             )
             return Ending.UNUSABLE
         if response.status_code != 200:
--- a/heronstall/net/dispatcher.py
+++ b/heronstall/net/dispatcher.py
@@ -11,9 +11,11 @@
 from collections.abc import Callable, Sequence
 from typing import Any, Literal, NamedTuple, Protocol
 
+from heronstall import events
 from heronstall import interface as i
 from heronstall.config import Config
 from heronstall.decide import Balancer
+from heronstall.events import say
 from heronstall.net.connection import OUTCOME, Ending
 from heronstall.net.server_table import BackendServer
 
@@ -164,13 +166,13 @@
     # ------------------------------------------------------------------ actions
 
     def _turn(self) -> None:
-        events, self._events = self._events, []
+        batch, self._events = self._events, []
         self._counts["turns"] += 1
-        for action in self._balancer.handle(self._loop.now, events):
+        for action in self._balancer.handle(self._loop.now, batch):
             try:
                 self._carry_out(action)
             except Exception:  # guards the actions behind it: each belongs to some other session
-                log.exception("unexpected error in carrying out %s", action)
+                say(log, events.UNEXPECTED, where=f"carrying out {action}")
 
     def _carry_out(self, action: i.Action) -> None:
         if isinstance(action, i.Send):
@@ -193,20 +195,20 @@
             if server is not None:
                 self.backend.probe(server)
         elif isinstance(action, i.Log):
-            log.info("decisions: %s", action.text)
+            say(log, events.DECISIONS, text=action.text)
         # Subscribe: the watch is always on.
 
     def _send(self, action: i.Send) -> None:
         session = self._sessions.get(action.request)
         server = self.table.by_number.get(action.worker)
         if session is None:
-            log.error("decisions sent unknown session %d", action.request)
+            say(log, events.UNKNOWN_SESSION, session=action.request)
             return
         index = session.attempts
         session.attempts += 1
         if session.over or server is None or session.open is not None:
             # Guards the rules against a wrong decision: no copy beside another, none after the final answer.
-            log.error("dispatch %d of session %d not made", index, session.number)
+            say(log, events.NOT_MADE, dispatch=index, session=session.number)
             self.post(i.Outcome(session.number, action.worker, index, session.over, "not_sent"))
             return
         until = session.deadline
@@ -230,6 +232,6 @@
     def _report(self) -> None:
         if self._counts:
             told = " ".join(f"{name}={count}" for name, count in sorted(self._counts.items()))
-            log.info("last 10 s: sessions open=%d; %s", len(self._sessions), told)
+            say(log, events.COUNTS, open=len(self._sessions), counts=told)
             self._counts.clear()
         self._loop.at(self._loop.now + REPORT_EVERY, self._report)
--- a/heronstall/net/frontend.py
+++ b/heronstall/net/frontend.py
@@ -12,8 +12,10 @@
 
 import h11
 
+from heronstall import events
 from heronstall import interface as i
 from heronstall.config import Config
+from heronstall.events import say
 from heronstall.net.backend import Job
 from heronstall.net.connection import BODY_LIMIT, Connection, Ended, Ending, shut_writing
 from heronstall.net.dispatcher import Answer, Dispatcher
@@ -123,7 +125,7 @@
                 continue
             except OSError as error:
                 # Guards against spinning when descriptors run out (EMFILE): the backlog keeps the clients.
-                log.warning("cannot accept: %s", error)
+                say(log, events.ACCEPT_FAILED, reason=str(error))
                 self._make_room()
                 yield from sleep(self._loop.now + ACCEPT_PAUSE)
             else:
@@ -309,9 +311,9 @@
             raise Ended(Ending.CLOSED)
         else:
             if late:
-                log.warning("session %s came late in a drain: failed before the kill", job.id)
+                say(log, events.LATE_IN_DRAIN, request=job.id)
             else:
-                log.error("session %s had no answer by its deadline", job.id)
+                say(log, events.NO_ANSWER, request=job.id)
             yield from self._give(connection, Answer("failed"))
         return True
 
--- a/heronstall/net/loop.py
+++ b/heronstall/net/loop.py
@@ -16,6 +16,9 @@
 from collections.abc import Callable, Generator
 from typing import Any, TypeVar
 
+from heronstall import events
+from heronstall.events import say
+
 R = TypeVar("R")
 Wait = tuple[int, int, "int | None"]
 Coroutine = Generator[Wait, Any, R]
@@ -79,7 +82,7 @@
             self.done = True
         except Exception:
             self.done = True
-            log.exception("unexpected error in %s", self.name)
+            say(log, events.UNEXPECTED, where=self.name)
         else:
             self._fd = fd
             if until is not None:
@@ -200,7 +203,7 @@
         try:
             call()
         except Exception:  # one wrong call must not stop the serving of everything else
-            log.exception("unexpected error in a call of the loop")
+            say(log, events.UNEXPECTED, where="a call of the loop")
 
 
 def sleep(until: int) -> Coroutine[None]:
--- a/heronstall/net/server_table.py
+++ b/heronstall/net/server_table.py
@@ -9,8 +9,10 @@
 import h11
 import ujson
 
+from heronstall import events
 from heronstall import interface as i
 from heronstall.config import Address, Config, ConfigError, address
+from heronstall.events import say
 from heronstall.net.connection import Connection, Ended, Ending, Lines, connect
 from heronstall.net.loop import Coroutine, Loop, Task, sleep
 
@@ -74,7 +76,7 @@
             try:
                 rev = self.take(self._config.known, persisted=True)
             except Ended as ended:
-                log.warning("known list ignored: %s", ended)
+                say(log, events.KNOWN_IGNORED, reason=str(ended))
         self._begin(_Watch(self._config.discovery, rev))
 
     def follow(self, discovery: Address) -> None:
@@ -109,16 +111,12 @@
                 connection = yield from connect(self._loop, watch.discovery, self._loop.now + CONNECT_TIME)
                 yield from self._listen(watch, connection)
             except Ended as ended:
-                log.warning(
-                    "watch on %s:%d ended, table of revision %s stays valid: %s",
-                    *watch.discovery,
-                    watch.rev,
-                    ended,
-                )
+                host, port = watch.discovery
+                say(log, events.WATCH_ENDED, host=host, port=port, rev=watch.rev, reason=str(ended))
                 if ended.ending is Ending.MALFORMED:
                     watch.rev = None  # what was missed cannot be told: ask for the whole list
             except Exception:
-                log.exception("unexpected error in the watch")
+                say(log, events.UNEXPECTED, where="the watch")
                 watch.rev = None
             finally:
                 if connection is not None:
@@ -154,12 +152,9 @@
 
     def _first_heard(self, watch: _Watch) -> None:
         watch.heard = self.heard = True
-        log.info(
-            "watch on %s:%d answered, revision %s, %d servers",
-            *watch.discovery,
-            watch.rev,
-            sum(server.off_since is None for server in self._by_uid.values()),
-        )
+        host, port = watch.discovery
+        servers = sum(server.off_since is None for server in self._by_uid.values())
+        say(log, events.WATCH_ANSWERED, host=host, port=port, rev=watch.rev, servers=servers)
         if watch is self._watch and self._former is not None:
             if self._former.task is not None:
                 self._former.task.kill()
@@ -206,7 +201,7 @@
         uid, boot_ms = str(row["uid"]), int(row.get("boot_ms") or 0)
         state = STATES.get(row["state"])
         if state is None:
-            log.warning("server %s has the unknown state %r: taken as draining", uid, row["state"])
+            say(log, events.STATE_UNKNOWN, server=uid, state=str(row["state"]))
             state = "leaving"
         endpoint = address(str(row["endpoint"]), "endpoint")
         started = boot_ms * 1000 - self._offset if boot_ms > 0 else None
--- /dev/null
+++ b/heronstall/operator.py
@@ -0,0 +1,98 @@
+"""The operator's file as the live program reads it: what the platform's JSON does not say.
+
+HERONSTALL_SETTINGS names it; without it everything has its default. A `.cue` file is checked by a process of
+its own: `heronstall.records` and its parser would take more memory here than the deployment leaves. A `.json`
+file is what `heronstall settings show --json` made of one, and costs nothing.
+"""
+
+from __future__ import annotations
+
+import logging
+import sys
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import ujson
+
+FORMATS = ("plain", "logfmt", "json")
+LEVELS = ("debug", "info", "warning", "error")
+CHECK_TIME = 30.0  # seconds for the checking process
+
+
+class OperatorError(ValueError):
+    """The file cannot be used; the message names file, line and key."""
+
+
+@dataclass(frozen=True)
+class Operator:
+    """The settings of the operator's file."""
+
+    log_format: str = "plain"
+    log_level: str = "info"
+
+
+def read(environ: Mapping[str, str]) -> Operator:
+    """What HERONSTALL_SETTINGS says. Raises OperatorError."""
+    name = environ.get("HERONSTALL_SETTINGS")
+    if not name:
+        return Operator()
+    text = _checked(name) if name.endswith(".cue") else _text(name)
+    try:
+        record = ujson.loads(text)
+    except ValueError:
+        raise OperatorError(f"{name}: neither a .cue file nor JSON") from None
+    return _operator(name, record)
+
+
+def _text(name: str) -> str:
+    try:
+        return Path(name).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise OperatorError(f"{name}: cannot be read: {error}") from None
+
+
+def _checked(name: str) -> str:
+    import subprocess  # only where a file is given: the program is small
+
+    command = [sys.executable, "-m", "heronstall.records", name]
+    try:
+        done = subprocess.run(command, capture_output=True, text=True, timeout=CHECK_TIME, check=False)
+    except (OSError, subprocess.TimeoutExpired) as error:
+        raise OperatorError(f"{name}: cannot be checked: {error}") from None
+    if done.returncode:
+        told = done.stderr.strip().splitlines() or ["cannot be checked"]
+        raise OperatorError(told[-1] if "Error" in told[-1] else "; ".join(told))
+    return done.stdout
+
+
+def _operator(name: str, record: Any) -> Operator:
+    log = record.get("log", {}) if isinstance(record, dict) else None
+    if not isinstance(log, dict):
+        raise OperatorError(f"{name}: log: a record is wanted")
+    read = Operator(str(log.get("format", "plain")), str(log.get("level", "info")))
+    for key, value, known in (
+        ("log.format", read.log_format, FORMATS),
+        ("log.level", read.log_level, LEVELS),
+    ):
+        if value not in known:
+            raise OperatorError(f"{name}: {key}: {value!r} where {' or '.join(known)} is wanted")
+    return read
+
+
+def start_logging(operator: Operator) -> None:
+    """Log to standard error in the form asked for. Raises OperatorError where its library is missing."""
+    handler = logging.StreamHandler(sys.stderr)
+    if operator.log_format == "plain":
+        handler.setFormatter(logging.Formatter("%(levelname)s %(name)s: %(message)s"))
+    else:
+        try:
+            from heronstall.logs import formatter
+        except ImportError as error:
+            told = f"log.format: {operator.log_format} wants the extra `logs`: {error}"
+            raise OperatorError(told) from None
+        handler.setFormatter(formatter(operator.log_format))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(operator.log_level.upper())
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,125 @@
+"""The lab: real dispatchers on loopback, played short; the same plants as in the model are caught."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import subprocess
+import sys
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+import pytest
+
+from heronstall.fleet.spec import ScenarioError
+from heronstall.lab import run as lab_run
+from heronstall.lab.clock import RealTime, monotonic
+from heronstall.lab.listener import Listener
+from tests.scenes import BASE, FAULTS, RATE, scene
+
+QUICK = "arrivals: rate_per_s: 20\n"
+
+
+def command(folder: Path, name: str, text: str, *more: str) -> list[str]:
+    path = folder / f"{name}.cue"
+    path.write_text(text)
+    return [sys.executable, "-m", "heronstall.cli", "lab", "run", str(path), "--json", "-", *more]
+
+
+def play(call: list[str]) -> tuple[int, dict[str, Any], str]:
+    done = subprocess.run(call, capture_output=True, text=True, timeout=120, check=False)
+    assert done.stdout, done.stderr
+    return done.returncode, json.loads(done.stdout), done.stderr
+
+
+def test_plants_are_caught_on_sockets_and_the_real_program_keeps_every_rule(tmp_path: Path) -> None:
+    calls: dict[str, list[str]] = {}
+    for name, (more, _, rate) in FAULTS.items():
+        program = f"{sys.executable} -m tests.plants {name}"
+        calls[name] = command(tmp_path, name, BASE + rate + more, "--program", program)
+    crash = f"{sys.executable} -m tests.plants dies"
+    calls["dies"] = command(tmp_path, "dies", BASE + QUICK, "--program", crash, "--seconds", "5")
+    release = FAULTS["deaf"][0]
+    restart = ', {kind: "dispatcher-restart", at_s: 2, for_s: 2, part: 0.5}]'
+    crashed = ', {kind: "dispatcher-crash", at_s: 5, for_s: 1, part: 0.5}]'
+    for name, more in (("restart", restart), ("crash", crashed)):
+        calls[name] = command(tmp_path, name, BASE + RATE + release.replace("]", more, 1))
+    with ThreadPoolExecutor(len(calls)) as pool:
+        played = dict(zip(calls, pool.map(play, calls.values()), strict=True))
+    for name, (_, rule, _) in FAULTS.items():
+        code, record, _ = played[name]
+        assert {row["rule"] for row in record["rules_broken"]} == {rule}, (name, record["rules_broken"][:3])
+        assert code == 1
+    assert "crash" in {row["rule"] for row in played["dies"][1]["rules_broken"]}
+    for name in ("restart", "crash"):
+        _, record, _ = played[name]
+        assert record["rules_broken"] == [], name
+        assert record["served"] > 0.8 * record["requests"]
+        assert record["served"] + record["refused"] + record["failed"] == record["requests"]
+
+
+def test_more_pairs_than_descriptors_is_told_before_anything_starts() -> None:
+    large = scene("zones: c: {dispatchers: 1000, servers: 10000}")
+    with (
+        mock.patch("resource.getrlimit", return_value=(1024, 4096)),
+        mock.patch("resource.setrlimit"),
+        pytest.raises(
+            ScenarioError, match="^zones: 1002 dispatchers x 10004 servers want .* 4096 are allowed"
+        ),
+    ):
+        lab_run.check_room(large)
+
+
+def test_a_listener_refuses_says_nothing_and_comes_back_on_the_same_port() -> None:
+    async def story() -> None:
+        accepted: list[socket.socket] = []
+        listener = Listener(accepted.append)
+
+        async def connect(longest: float) -> str:
+            sock = socket.socket()
+            sock.setblocking(False)
+            try:
+                made = asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", listener.port))
+                await asyncio.wait_for(made, longest)
+                return "up"
+            except ConnectionRefusedError:
+                return "refused"
+            except TimeoutError:
+                return "nothing"
+            finally:
+                sock.close()
+
+        assert await connect(5.0) == "up"
+        listener.set("refuse")
+        assert await connect(5.0) == "refused"
+        listener.set("mute")  # from refusing, too
+        assert await connect(0.3) == "nothing"
+        listener.set("open")
+        assert await connect(5.0) == "up"
+        await asyncio.sleep(0.05)
+        assert len(accepted) == 2
+        for sock in accepted:
+            sock.close()
+        listener.close()
+
+    asyncio.run(story())
+
+
+def test_calls_wait_for_the_start_and_a_step_of_the_wall_clock_moves_nothing() -> None:
+    async def story() -> None:
+        time, seen = RealTime(), []
+        time.at(0, lambda: seen.append("first"))
+        time.at(30_000, lambda: seen.append("second"))
+        time.at(10_000, lambda: seen.append("never")).cancel()
+        await asyncio.sleep(0.02)
+        assert time.now == 0 and seen == []
+        with mock.patch("time.time", return_value=0.0), mock.patch("time.time_ns", return_value=0):
+            time.begin(monotonic())
+            while len(seen) < 2:
+                await asyncio.sleep(0.005)
+        assert seen == ["first", "second"] and time.now >= 30_000
+
+    asyncio.run(story())
