--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,4 +1,4 @@
-"""The command line: forms that others script, exit codes, quiet in a pipe; and the program's settings, logs."""
+"""The command line: forms that others script, exit codes, quiet in a pipe; settings and logs."""
 
 from __future__ import annotations
 
