--- a/heronstall/fleet/audit.py
+++ b/heronstall/fleet/audit.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from typing import Literal
+from typing import Any, Literal
 
 from heronstall.fleet import boundary as b
 from heronstall.fleet.server import NEVER_RAN
@@ -19,6 +19,7 @@
 RESTART_LATE = 700_000  # what comes later after SIGTERM may be lost to SIGKILL
 BLAME = 2.0 / 3.0  # of the work that pushed a server over, from dispatchers that had been told of its start
 HARMLESS = (429, 503)
+PRUNE_EVERY, KEEP = 50_000, 2_000_000  # crossings; microseconds that a request is kept beyond its deadline
 
 
 @dataclass(frozen=True)
@@ -77,8 +78,22 @@
         self._down: dict[int, list[b.NodeDown]] = {}
         self._told: dict[tuple[int, int], tuple[str, int]] = {}
         self._found: list[Breach] = []
+        self._fed = 0
+        self._handlers: dict[type, Callable[[Any], None]] = {
+            b.Taken: self._taken,
+            b.Answered: self._ended,
+            b.Unanswered: self._ended,
+            b.Left: self._ended,
+            b.Recalled: self._recalled,
+            b.Written: self._written,
+            b.Arrived: self._attempt,
+            b.Over: self._attempt,
+            b.ToldOf: self._told_of,
+            b.NodeDown: self._node_down,
+            b.Fell: self._fell,
+            b.Probed: self._probed,
+        }
         self.attempts = 0
-        self.crossings = 0
         self.probes = 0
 
     def run(self, crossings: Iterable[b.Crossing], end: int) -> list[Breach]:
@@ -89,34 +104,50 @@
 
     def feed(self, c: b.Crossing) -> None:
         """One crossing."""
-        if isinstance(c, b.Taken):
-            self._sessions[c.id] = _Session(c.node, c.cls, c.at, c.time_left, trail=[c])
-        elif isinstance(c, (b.Answered, b.Unanswered, b.Left)):
-            self._ended(c)
-        elif isinstance(c, b.Recalled):
-            session = self._sessions.get(c.id)
-            if (
-                session is not None and not session.attempts
-            ):  # with an attempt made, it had been read after all
-                del self._sessions[c.id]
-            elif session is not None:
-                self._ended(b.Unanswered(c.at, c.node, c.id))
-        elif isinstance(c, b.Written):
-            self._written(c)
-        elif isinstance(c, (b.Arrived, b.Over)):
-            self._attempt(c)
-        elif isinstance(c, b.ToldOf):
-            state = self._told.get((c.node, c.server))
-            if state is None or state[0] != c.state:
-                self._told[c.node, c.server] = (c.state, c.at)
-        elif isinstance(c, b.NodeDown):
-            self._down.setdefault(c.node, []).append(c)
-            if c.crashed:
-                self._breach("crash", c.at, c.node, "it ended by itself", None)
-        elif isinstance(c, b.Fell):
-            self._fell(c)
-        elif isinstance(c, b.Probed):
-            self.probes += 1
+        self._fed += 1
+        if self._fed % PRUNE_EVERY == 0:
+            self._prune(c.at)
+        handler = self._handlers.get(type(c))
+        if handler is not None:
+            handler(c)
+
+    def _taken(self, c: b.Taken) -> None:
+        self._sessions[c.id] = _Session(c.node, c.cls, c.at, c.time_left, trail=[c])
+
+    def _recalled(self, c: b.Recalled) -> None:
+        session = self._sessions.get(c.id)
+        if session is not None and not session.attempts:  # with an attempt made, it had been read after all
+            del self._sessions[c.id]
+        elif session is not None:
+            self._ended(b.Unanswered(c.at, c.node, c.id))
+
+    def _told_of(self, c: b.ToldOf) -> None:
+        state = self._told.get((c.node, c.server))
+        if state is None or state[0] != c.state:
+            self._told[c.node, c.server] = (c.state, c.at)
+
+    def _node_down(self, c: b.NodeDown) -> None:
+        self._down.setdefault(c.node, []).append(c)
+        if c.crashed:
+            self._breach("crash", c.at, c.node, "it ended by itself", None)
+
+    def _probed(self, c: b.Probed) -> None:
+        self.probes += 1
+
+    def _prune(self, now: int) -> None:
+        """Forget requests long over: a large run holds hundreds of thousands.
+
+        One sent again even later shows as sent though no client asked.
+        """
+        old = [
+            id
+            for id, s in self._sessions.items()
+            if now > s.taken + s.time_left + KEEP
+            and (s.answered is not None or s.left)
+            and all(a.over is not None for a in s.attempts.values())
+        ]
+        for id in old:
+            del self._sessions[id]
 
     def _breach(self, rule: Rule, at: int, node: int, text: str, session: _Session | None) -> None:
         trail = session.trail[-EVIDENCE:] if session is not None else []
--- a/heronstall/fleet/caller.py
+++ b/heronstall/fleet/caller.py
@@ -47,10 +47,11 @@
                 part = float(streams.of("front", zone.name, n).standard_normal())
                 self.parts.append(2.718281828459045 ** (scenario.skew * part))
         self.known_up = [True] * len(self.parts)
+        self._of = [[n for n, at in enumerate(self.zone_of) if at == z] for z in range(len(scenario.zones))]
 
     def pick(self, zone: int, draw: float) -> int | None:
         """The dispatcher for a draw from 0 to 1: of the zone, else of any; None where none is known up."""
-        up = [n for n, z in enumerate(self.zone_of) if z == zone and self.known_up[n]]
+        up = [n for n in self._of[zone] if self.known_up[n]]
         up = up or [n for n, ok in enumerate(self.known_up) if ok]
         if not up:
             return None
--- a/heronstall/fleet/server.py
+++ b/heronstall/fleet/server.py
@@ -9,6 +9,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import prod
 from typing import Literal, NamedTuple
 
 from heronstall.fleet.spec import SECOND, Kind, Scenario
@@ -116,6 +117,7 @@
         self._s, self._time, self._repeats = scenario, timeline, repeats
         k, me = self.spec, ("server", number)
         self.speed = streams.figure(k.speed, *me, "speed")
+        self._full = k.cores * self.speed  # warm, and as slow as troubles make it
         self._handshake = streams.figure(k.handshake, *me, "handshake")
         self._probe = streams.figure(k.probe, *me, "probe")
         self._every = max(1, round(streams.figure(scenario.report_every, *me, "report")))
@@ -166,17 +168,16 @@
 
     def capacity(self, now: int) -> float:
         """Work that all cores can do in a microsecond, whether or not it stands still."""
-        slower = 1.0
-        for times in self._slow:
-            slower *= times
-        return self.spec.cores * self.speed * self.warmth(now) / slower
+        return self._full if now >= self.started_at + self.spec.cold else self._full * self.warmth(now)
 
     def _rate(self, now: int) -> float:
         """Work that each running job gets in a microsecond."""
-        k = self.spec
-        n = len(self.running) + (self._toll > 0.0)
-        crowd = max(0, len(self.running) - k.cores)
-        return self.pace(now) * min(1.0, k.cores / max(1, n)) / (1.0 + k.crowding * crowd)
+        k, n = self.spec, len(self.running)
+        shared = n + (self._toll > 0.0)
+        pace = self.pace(now)
+        if shared > k.cores:
+            pace *= k.cores / shared
+        return pace / (1.0 + k.crowding * (n - k.cores)) if n > k.cores else pace
 
     def _advance(self, now: int) -> None:
         span, self._at = now - self._at, now
@@ -392,6 +393,7 @@
         """Every core is so many times slower."""
         self._advance(self._time.now)
         self._slow.append(times) if on else self._slow.remove(times)
+        self._full = self.spec.cores * self.speed / prod(self._slow)
         self._plan()
 
     def late_reports(self, by: int, on: bool) -> None:
--- a/heronstall/model/kernel.py
+++ b/heronstall/model/kernel.py
@@ -10,10 +10,11 @@
 class Due:
     """A call to come; cancelled ones are passed over when their moment is reached."""
 
-    __slots__ = ("call",)
+    __slots__ = ("call", "life")
 
-    def __init__(self, call: Callable[[], None]) -> None:
+    def __init__(self, call: Callable[[], None], life: Life | None = None) -> None:
         self.call: Callable[[], None] | None = call
+        self.life = life  # whose death calls it off
 
     def cancel(self) -> None:
         """Have it not come."""
@@ -30,10 +31,10 @@
         self._heap: list[tuple[int, int, Due]] = []
         self._soon: deque[Callable[[], None]] = deque()
 
-    def at(self, when: int, call: Callable[[], None]) -> Due:
+    def at(self, when: int, call: Callable[[], None], life: Life | None = None) -> Due:
         """Call at `when`, or now where that has passed; calls of one moment in the order asked for."""
         self._tie += 1
-        due = Due(call)
+        due = Due(call, life)
         heapq.heappush(self._heap, (when if when > self.now else self.now, self._tie, due))
         return due
 
@@ -46,10 +47,11 @@
         heap, soon = self._heap, self._soon
         while heap and heap[0][0] <= until:
             when, _, due = heapq.heappop(heap)
-            if due.call is None:
+            call = due.call
+            if call is None or (due.life is not None and due.life.dead):
                 continue
             self.now = when
-            due.call()
+            call()
             self.calls += 1
             while soon:
                 soon.popleft()()
@@ -77,7 +79,7 @@
 
     def at(self, when: int, call: Callable[[], None]) -> Due:
         """Call at a moment, if alive then."""
-        return self._time.at(when, lambda: None if self.dead else call())
+        return self._time.at(when, call, self)
 
     def soon(self, call: Callable[[], None]) -> None:
         """Call at this moment, if alive."""
--- a/heronstall/model/wire.py
+++ b/heronstall/model/wire.py
@@ -391,12 +391,12 @@
         )
         if conn is None:
             return
+        job, self._job = self._job, None  # it holds a way back to here: a circle that only the collector ends
         if ending in (Ending.SERVED, Ending.FAILED, Ending.RETURNED, Ending.LOST):
             wire.give(self._server, conn)
             return
         conn.exchange = None
-        if self._job is not None and not conn.dead:
-            job = self._job
+        if job is not None and not conn.dead:
             wire.out(conn, lambda: self._gone(job))
         wire.close(conn)
 
