Record traces in columns, and tell an observer only after a turn's actions

Change: a block's records stand in columns by kind, taken apart when the block closes; the zstd compressor is made once; the observer is told after the actions, and one that raises is logged and told no more.

--- a/heronstall/__main__.py
+++ b/heronstall/__main__.py
@@ -113,7 +113,7 @@
         except ImportError as error:
             say(log, events.SETTINGS_WRONG, reason=f"trace.dir: a trace wants the extra `trace`: {error}")
             return 2
-        recorder = Recorder(operator, config.name, config.told, lambda: loop.now)
+        recorder = Recorder(operator, config.name, config.told, loop.now)
         program.dispatcher.observer = recorder
     loop.spawn(program.signals(waker), "signals")
     gc.freeze()
--- a/heronstall/model/run.py
+++ b/heronstall/model/run.py
@@ -54,6 +54,7 @@
 
     def __init__(self, run: Run, number: int, zone: int) -> None:
         self.run, self.number, self.zone = run, number, zone
+        self.observer: Any = None  # of the dispatcher, through all its lives
         self.up = self.draining = False
         self.life: Life
         self.wire: Wire
@@ -77,6 +78,7 @@
         table.moved = self.wire.forget
         self.dispatcher.table, self.dispatcher.backend = table, self.wire
         self.wire.dispatcher = self.dispatcher
+        self.dispatcher.observer = self.observer
         self.table = table
         run.cross(b.NodeUp(run.time.now, self.number))
         self.told(run.fleet.roster.whole(self.number), persisted=True)
--- a/heronstall/net/dispatcher.py
+++ b/heronstall/net/dispatcher.py
@@ -177,13 +177,17 @@
         batch, self._events = self._events, []
         self._counts["turns"] += 1
         actions = self._balancer.handle(self._loop.now, batch)
-        if self.observer is not None:
-            self.observer.observe(self._loop.now, batch, actions)
         for action in actions:
             try:
                 self._carry_out(action)
             except Exception:  # guards the actions behind it: each belongs to some other session
                 say(log, events.UNEXPECTED, where=f"carrying out {action}")
+        if self.observer is not None:
+            try:
+                self.observer.observe(self._loop.now, batch, actions)
+            except Exception:  # guards serving against whoever only watches it
+                say(log, events.UNEXPECTED, where="the observer: it is told no more")
+                self.observer = None
 
     def _carry_out(self, action: i.Action) -> None:
         if isinstance(action, i.Send):
--- a/heronstall/trace/frame.py
+++ b/heronstall/trace/frame.py
@@ -59,11 +59,18 @@
         raise FrameError(f"version {version}, and this program reads {VERSION}")
 
 
-def block(type_: int, sequence: int, first: int, payload: bytes) -> bytes:
+def compressor() -> zstandard.ZstdCompressor:
+    """What packs blocks; to be used for many, since making one takes longer than a block does."""
+    return zstandard.ZstdCompressor(level=LEVEL)
+
+
+def block(
+    type_: int, sequence: int, first: int, payload: bytes, packer: zstandard.ZstdCompressor | None = None
+) -> bytes:
     """A whole block."""
     if len(payload) > LARGEST:
         raise FrameError(f"a payload of {len(payload)} bytes, {LARGEST} at most")
-    stored, flags = zstandard.ZstdCompressor(level=LEVEL).compress(payload), ZSTD
+    stored, flags = (packer or compressor()).compress(payload), ZSTD
     if len(stored) >= len(payload):
         stored, flags = payload, 0
     told = _BLOCK.pack(MARK, type_, flags, 0, sequence, len(stored), len(payload), first)
--- a/heronstall/trace/reader.py
+++ b/heronstall/trace/reader.py
@@ -11,7 +11,7 @@
 
 from heronstall.trace import frame
 from heronstall.trace import trace_pb2 as pb
-from heronstall.trace.records import Item, decode
+from heronstall.trace.records import ColumnError, Item, decode
 
 SEARCH = 1 << 16  # bytes looked through at a time for the next block
 
@@ -97,8 +97,8 @@
             raise frame.FrameError("cut off")
         return told, frame.payload(told, head, stored)
 
-    def blocks(self, start: int = frame.HEAD_SIZE) -> Iterator[tuple[frame.Block, pb.Records]]:
-        """The blocks of records from an offset on."""
+    def blocks(self, start: int = frame.HEAD_SIZE) -> Iterator[tuple[frame.Block, list[Item]]]:
+        """The blocks of records from an offset on, each with its records."""
         offset, expected = start, None
         notes = self.notes
         while True:
@@ -129,16 +129,18 @@
                 notes.missing += told.sequence - expected
             expected = told.sequence + 1
             if records is not None:
-                notes.dropped += records.dropped
                 yield told, records
 
-    def _records(self, told: frame.Block, data: bytes) -> pb.Records | None:
+    def _records(self, told: frame.Block, data: bytes) -> list[Item] | None:
         if told.type != frame.RECORDS:
             return None
         try:
-            return pb.Records.FromString(data)
-        except DecodeError:
+            block = pb.Records.FromString(data)
+            items = decode(block)
+        except (DecodeError, ColumnError):
             raise frame.FrameError(f"block {told.sequence} holds no records") from None
+        self.notes.dropped += block.dropped
+        return items
 
     def _search(self, offset: int) -> int | None:
         """Where the next block seems to begin; None where none does."""
@@ -164,6 +166,6 @@
         for told, records in self.blocks(start):
             if until is not None and told.first >= until:
                 return
-            for item in decode(records):
+            for item in records:
                 if (since is None or item.at >= since) and (until is None or item.at < until):
                     yield item
--- a/heronstall/trace/recorder.py
+++ b/heronstall/trace/recorder.py
@@ -4,7 +4,7 @@
 
 import logging
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Protocol
 
@@ -38,13 +38,13 @@
 class Recorder:
     """Writes one trace after another and keeps the latest. It observes a `Dispatcher` and cannot fail it."""
 
-    def __init__(self, settings: Settings, node: str, told: str, now: Callable[[], int]) -> None:
-        self._settings, self._node, self._told, self._now = settings, node, told, now
+    def __init__(self, settings: Settings, node: str, told: str, now: int) -> None:
+        self._settings, self._node, self._told = settings, node, told
         self._folder = Path(settings.trace_dir)
         self._rotate = int(settings.trace_rotate_s * 1e6)
         self._writer: TraceWriter | None = None
         self._until = 0
-        self._open(now())
+        self._open(now)
 
     def _open(self, now: int) -> None:
         unix = time.time_ns() // 1000
@@ -87,5 +87,5 @@
         """End the trace in hand; waits so many seconds at the most for the disk."""
         writer, self._writer = self._writer, None
         if writer is not None:
-            writer.close(self._now(), wait)
+            writer.close(wait)
             say(log, events.TRACE_ENDED, path=str(writer.path), dropped=writer.dropped)
--- a/heronstall/trace/writer.py
+++ b/heronstall/trace/writer.py
@@ -18,8 +18,7 @@
 from heronstall.trace import trace_pb2 as pb
 from heronstall.trace.records import Encoder
 
-FULL = 64 * 1024  # bytes of records, about, that make a block
-BYTES_EACH = 24  # of a record, about: counting them exactly would cost more than it tells
+FULL = 2000  # records that make a block: some 40 KiB, and a millisecond to take apart
 OLD = 1_000_000  # microseconds after which a block is closed however little it holds
 WAITING = 8  # blocks that may wait for the disk
 END_TIME = 5.0  # seconds that the last blocks get
@@ -46,11 +45,12 @@
         self._failed = failed
         self._fd = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o640) if fd is None else fd
         self._queue: queue.Queue[Closed | None] = queue.Queue(WAITING + 2)
-        self._encoder = Encoder(at)
+        self._encoder: Encoder | None = None
         self._lost = 0  # records dropped since the last block that got through
         self.broken = False
         self._entries: list[pb.Entry] = []
         self._sequence = self._offset = 0
+        self._packer = frame.compressor()
         self._thread = threading.Thread(target=self._write_all, name="trace", daemon=True)
         self._queue.put(Closed(frame.ABOUT, at, at, 1, about.SerializeToString()))
         self._thread.start()
@@ -58,16 +58,14 @@
     def observe(self, now: int, events: Sequence[i.Event], actions: Sequence[i.Action]) -> None:
         """What the decisions were told at a moment, and what they said."""
         encoder = self._encoder
-        if not encoder.count:
+        if encoder is None:
             encoder = self._encoder = Encoder(now, self._lost)
-        encoder.add(now, events, actions)
-        if encoder.count * BYTES_EACH >= FULL or now - encoder.first >= OLD:
-            self._close_block(now)
+        if encoder.add(now, events, actions) >= FULL or now - encoder.first >= OLD:
+            self._close_block()
 
-    def _close_block(self, now: int) -> None:
-        encoder = self._encoder
-        self._encoder = Encoder(now)
-        if not encoder.count:
+    def _close_block(self) -> None:
+        encoder, self._encoder = self._encoder, None
+        if encoder is None or not encoder.count:
             return
         try:
             if self.broken or self._queue.qsize() >= WAITING:
@@ -79,9 +77,9 @@
             self._lost += encoder.count
             self.dropped += encoder.count
 
-    def close(self, now: int, wait: float = END_TIME) -> None:
+    def close(self, wait: float = END_TIME) -> None:
         """Have what is left and the index written; waits so many seconds at the most for the disk."""
-        self._close_block(now)
+        self._close_block()
         self._queue.put_nowait(None)  # there is always room for it
         if wait:
             self._thread.join(wait)
@@ -118,7 +116,8 @@
             count=closed.records,
             type=closed.type,
         )
-        self._write(frame.block(closed.type, self._sequence, closed.first, closed.payload))
+        packed = frame.block(closed.type, self._sequence, closed.first, closed.payload, self._packer)
+        self._write(packed)
         self._entries.append(entry)
         self._sequence += 1
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -184,3 +184,20 @@
     for name, value in vars(events).items():
         if isinstance(value, events.Event):
             assert f"events.{name}" in source, name
+
+
+def test_a_trace_is_recorded_where_the_operator_asks_for_it_and_a_bad_folder_harms_nothing(
+    tmp_path: Path,
+) -> None:
+    from heronstall.trace.reader import TraceReader
+
+    settings, traces = tmp_path / "o.json", tmp_path / "traces"
+    settings.write_text(json.dumps({"trace": {"dir": str(traces)}}))
+    text = "\n".join(lines("n3", settings))
+    assert "trace.begun" not in text and "begun" in text and "0 records dropped" in text
+    (path,) = traces.iterdir()
+    with TraceReader(path) as reader:
+        assert reader.about.node == "n3" and "services" in reader.about.settings
+        assert list(reader.items()) and not reader.notes.cut
+    settings.write_text(json.dumps({"trace": {"dir": str(settings)}}))  # a file where a folder is wanted
+    assert "serving goes on without it" in "\n".join(lines("n3", settings))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -30,6 +30,7 @@
 from heronstall.net import server_table
 from heronstall.net.backend import Pool, read_report
 from heronstall.net.connection import Buffer, Connection, Ended, Ending, Lines
+from heronstall.net.dispatcher import Dispatcher
 from heronstall.net.frontend import Frontend
 from heronstall.net.loop import READ, Coroutine, Loop
 from heronstall.net.server_table import BackendServer
@@ -872,3 +873,23 @@
             with self.assertRaises(ConfigError) as caught:
                 configuration(raw_config(**changes))
             self.assertTrue(str(caught.exception).startswith(f"{key}:"), str(caught.exception))
+
+
+class Observing(unittest.TestCase):
+    def test_an_observer_sees_each_turn_after_its_actions_and_one_that_fails_is_told_no_more(self) -> None:
+        seen: list[str] = []
+        decisions = mock.Mock()
+        decisions.handle.side_effect = lambda now, batch: [i.Log("carried out")]
+        loop = Loop()
+        dispatcher = Dispatcher(configuration(raw_config()), loop, decisions)
+        dispatcher.observer = mock.Mock()
+        dispatcher.observer.observe.side_effect = lambda now, told, said: seen.append("told")
+        with self.assertLogs("heronstall.dispatcher") as logs:
+            for failure in (None, RuntimeError("full"), None):
+                if failure is not None:
+                    dispatcher.observer.observe.side_effect = failure
+                dispatcher.post(i.Timer())
+                loop.turn(0)
+        self.assertEqual(seen, ["told"])
+        self.assertIsNone(dispatcher.observer)
+        self.assertEqual(sum("carried out" in line for line in logs.output), 3)
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -116,7 +116,7 @@
         while writer._queue.qsize() > WAITING // 2:  # seconds pass here in no time; the disk gets its own
             time.sleep(0.001)
     if close:
-        writer.close(seconds * SECOND)
+        writer.close()
     return items
 
 
@@ -242,7 +242,7 @@
         threading.Event().wait(0.01)
         writer.observe(n * SECOND, [i.ClientGone(n)], [])
     dropped = writer.dropped
-    writer.close(60 * SECOND)
+    writer.close()
     thread.join(10)
     os.close(reading)
     (tmp_path / "t").write_bytes(held)
@@ -257,7 +257,7 @@
     writer = TraceWriter(tmp_path / "t", pb.About(), 0, failed.append, fd=writing)
     for n in range(30):
         writer.observe(n * SECOND, [i.ClientGone(n)], [])
-    writer.close(30 * SECOND)
+    writer.close()
     assert len(failed) == 1 and writer.broken
 
 
