Validate the model against loopback, figure by figure, and let comparisons say where it is wrong

Change: heronstall model validate plays a scenario in both clocks, the lab's dispatchers recording traces, draws signals from either side's turns alike (run time by hint, queue delay, start and probe latency, a report's life) and compares them by what one would have to be moved to become the other, less what chance moves. Exit 1 with the figure that differs most, kept beside the scenario and said by later comparisons. It found a fault of the lab: probes sent before the run's start waited for its clock, up to 0.36 s; they are answered at once now.

--- a/heronstall/cli/comparison.py
+++ b/heronstall/cli/comparison.py
@@ -48,6 +48,8 @@
     broken = record["rules_broken"]
     if broken["a"] or broken["b"]:
         click.echo(f"  rules broken: A {broken['a']}, B {broken['b']}")
+    if record["doubts"]:
+        click.echo(f"  beware: {record['doubts']}")
     click.echo(f"  verdict on service: B is {word(record)}")
 
 
--- a/heronstall/cli/model.py
+++ b/heronstall/cli/model.py
@@ -8,6 +8,7 @@
 
 from heronstall.cli.common import BadInput, judge, progress, read_scenario, tell, write_json
 from heronstall.cli.comparison import pairs_shown, tell_comparison
+from heronstall.cli.validating import doubts, validate
 from heronstall.records import load
 
 
@@ -16,6 +17,9 @@
     """Play scenarios in virtual time: the live decisions and dispatcher, no sockets."""
 
 
+model.add_command(validate)
+
+
 @model.command("run")
 @click.argument("scenario", type=click.Path(path_type=Path))
 @click.option("--seed", type=int, default=1, show_default=True, help="Everything random follows from it.")
@@ -108,6 +112,7 @@
             record = Comparison(sides[0], sides[1], wanted, State(state), shown).run()
         except ChoiceError as error:
             raise BadInput(str(error)) from None
+    record["doubts"] = doubts(on) if on is not None else ""
     write_json(record, to)
     if to != "-":
         tell_comparison(record)
--- a/heronstall/lab/connection.py
+++ b/heronstall/lab/connection.py
@@ -93,6 +93,9 @@
     def _carry(self, inward: bool, call: Callable[[], None]) -> None:
         """Make a call when a message gets to the other end; one that meets a cut waits for its end."""
         ways, time = self.host.ways, self.host.time
+        if not time.now:  # before the run's start, dispatchers look round already: no clock delays them yet
+            call()
+            return
         if not ways.open(self.zone, self.server.zone):
 
             def healed(zone: int) -> None:
--- a/heronstall/lab/nodes.py
+++ b/heronstall/lab/nodes.py
@@ -81,7 +81,9 @@
         folder: Path,
         discovery: list[str],
         program: tuple[str, ...] = DEFAULT,
+        settings: Path | None = None,
     ) -> None:
+        self._settings = settings
         self._plan, self._time, self._folder, self._program = plan, time, folder, program
         # Guards against two runs that keep their logs in one folder: each has its own configurations.
         self._private = tempfile.TemporaryDirectory(prefix="heronstall-lab-")
@@ -111,6 +113,8 @@
         path.write_text(json.dumps(config), encoding="utf-8")
         environ = {k: v for k, v in os.environ.items() if not k.startswith("NODE_")}
         environ["NODE_CONFIG"] = str(path)
+        if self._settings is not None:
+            environ["HERONSTALL_SETTINGS"] = str(self._settings)
         with (self._folder / f"n{node.number}.log").open("ab") as log:
             node.process = await asyncio.create_subprocess_exec(
                 *self._program, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log, env=environ
--- a/heronstall/lab/run.py
+++ b/heronstall/lab/run.py
@@ -107,9 +107,10 @@
         folder: Path,
         program: tuple[str, ...] = DEFAULT,
         live: Live | None = None,
+        settings: Path | None = None,
     ) -> None:
         self.scenario, self.seed = scenario, seed
-        self._folder, self._program, self._live = folder, program, live
+        self._folder, self._program, self._live, self._settings = folder, program, live, settings
         self.plan = Plan(scenario, seed)
         self.breaches: list[Any] = []
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -129,7 +130,9 @@
                 child.listen()
             ready = [child.ask("", None, "ready") for child in children]
             discovery = (await asyncio.gather(*ready))[0]
-            self._nodes = nodes = Nodes(self.plan, self.time, self._folder, discovery, self._program)
+            self._nodes = nodes = Nodes(
+                self.plan, self.time, self._folder, discovery, self._program, self._settings
+            )
             for node in nodes.all:
                 await nodes.start(node, None)
             await asyncio.gather(*(nodes.ready(node) for node in nodes.all))
@@ -268,10 +271,14 @@
     folder: Path | None = None,
     program: tuple[str, ...] = DEFAULT,
     live: Live | None = None,
+    settings: Path | None = None,
 ) -> dict[str, Any]:
-    """Play a scenario on loopback and return its record; `folder` keeps the dispatchers' logs."""
+    """Play a scenario on loopback and return its record.
+
+    `folder` keeps the dispatchers' logs, `settings` is their operator's file.
+    """
     if folder is not None:
         folder.mkdir(parents=True, exist_ok=True)
-        return asyncio.run(Run(scenario, seed, folder, program, live).run())
+        return asyncio.run(Run(scenario, seed, folder, program, live, settings).run())
     with tempfile.TemporaryDirectory(prefix="heronstall-lab-") as made:
-        return asyncio.run(Run(scenario, seed, Path(made), program, live).run())
+        return asyncio.run(Run(scenario, seed, Path(made), program, live, settings).run())
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -201,3 +201,21 @@
         assert list(reader.items()) and not reader.notes.cut
     settings.write_text(json.dumps({"trace": {"dir": str(settings)}}))  # a file where a folder is wanted
     assert "serving goes on without it" in "\n".join(lines("n3", settings))
+
+
+def test_the_load_tool_counts_dispatchers_that_nobody_reaches(tmp_path: Path) -> None:
+    path = tmp_path / "s.cue"
+    path.write_text(
+        BASE.replace("seconds: 8", "seconds: 1") + "arrivals: rate_per_s: 20\nclients: retries: 0\n"
+    )
+    words = ["lab", "load", str(path), "--to", "127.0.0.1:1,127.0.0.1:1", "--json", "-"]
+    done = subprocess.run(
+        [sys.executable, "-m", "heronstall.cli", *words],
+        capture_output=True,
+        text=True,
+        cwd=ROOT,
+        check=False,
+    )
+    record = json.loads(done.stdout)
+    assert record["ends"] == {"unreachable": record["requests"]} and record["unfinished"] == 0
+    assert done.returncode == (0 if record["verdict"] == "measured" else 1)
