Stop a comparison at a pair that follows from the seeds, not from which process was faster

Cause: scripts/check failed once under load: a comparison of A with itself stopped after 16 pairs where 12 were wanted. The width was looked at once for all pairs that had come in meanwhile, and only at multiples of four, so that two pairs finishing together could skip one: the number of runs depended on the machine. Change: pairs are counted and looked at one by one.

--- a/heronstall/model/compare.py
+++ b/heronstall/model/compare.py
@@ -129,10 +129,10 @@
                 if isinstance(got, ChoiceError):
                     raise got
                 finished.add(got)
-                before = pairs
-                while w.first_seed + pairs in finished:
+                # One pair at a time: where it stops follows from the seeds alone, not from which process was
+                # the faster one.
+                while not enough_now and w.first_seed + pairs in finished:
                     pairs += 1
-                if pairs > before:
                     enough_now = self._enough(pairs, time.monotonic() - began)
         finally:
             for _ in threads:
