Finish a run's record in one place for model run and lab run

Cause: reading the whole change again, the two commands ended with the same eight lines: record, text, report, verdict. Change: cli/common.finish does that for both; behaviour, options and exit codes are as they were.

--- a/heronstall/cli/common.py
+++ b/heronstall/cli/common.py
@@ -116,3 +116,15 @@
             raise Missed(f"{where}: no verdict, {record['verdict']}")
         if least is not None and record["score"] < least:
             raise Missed(f"{where}: score {record['score']:.4f} under {least}")
+
+
+def finish(record: dict[str, Any], to: str | None, report: Path | None, least: float | None) -> None:
+    """What `model run` and `lab run` do with a run's record. Raises Missed as `judge` does."""
+    write_json(record, to)
+    if to != "-":
+        tell(record)
+    if report is not None:
+        from heronstall.report import write_page
+
+        click.echo(f"  report: {write_page([record], report)}", err=to == "-")
+    judge([record], least)
--- a/heronstall/cli/lab.py
+++ b/heronstall/cli/lab.py
@@ -11,7 +11,7 @@
 
 import click
 
-from heronstall.cli.common import BadInput, Missed, judge, read_scenario, tell, write_json
+from heronstall.cli.common import BadInput, Missed, finish, read_scenario, write_json
 from heronstall.fleet.spec import Scenario, ScenarioError
 
 
@@ -67,14 +67,7 @@
     made = read_scenario(scenario, seconds)
     command = tuple(shlex.split(program)) if program else None
     record = play(made, seed, report, command, to == "-")
-    write_json(record, to)
-    if to != "-":
-        tell(record)
-    if report is not None:
-        from heronstall.report import write_page
-
-        click.echo(f"  report: {write_page([record], report)}", err=to == "-")
-    judge([record], least)
+    finish(record, to, report, least)
 
 
 @lab.command("load")
--- a/heronstall/cli/model.py
+++ b/heronstall/cli/model.py
@@ -6,7 +6,7 @@
 
 import click
 
-from heronstall.cli.common import BadInput, judge, progress, read_scenario, tell, write_json
+from heronstall.cli.common import BadInput, finish, progress, read_scenario, write_json
 from heronstall.cli.comparison import pairs_shown, tell_comparison
 from heronstall.cli.validating import doubts, validate
 from heronstall.records import load
@@ -43,14 +43,7 @@
         raise BadInput("--seed: a whole number of at least 0 is wanted")
     with progress(made.name, to == "-") as step:
         record = Run(made, seed).run(step)
-    write_json(record, to)
-    if to != "-":
-        tell(record)
-    if report is not None:
-        from heronstall.report import write_page
-
-        click.echo(f"  report: {write_page([record], report)}", err=to == "-")
-    judge([record], least)
+    finish(record, to, report, least)
 
 
 @model.command("compare")
