Open a door for operators: ping, true figures, bans, and a drain that can be taken back

Change: net/door.py (the words), net/operations.py (the calls), net/leaving.py (drain and signal, one state), ops/figures.py, ops/bans.py; the server table tells a banned server as draining. `operator` in the configuration or NODE_OPERATOR opens it. Found while testing: a coroutine killed before its first step runs no `finally`, so callers leaked; the door closes them. Ruled out for INFO: a leading YES line is not wanted, the figures are read as they stand.

--- a/heronstall/__main__.py
+++ b/heronstall/__main__.py
@@ -16,8 +16,11 @@
 from heronstall.events import say
 from heronstall.net.backend import HttpBackend, Pool
 from heronstall.net.dispatcher import Dispatcher
+from heronstall.net.door import CALLERS, Door
 from heronstall.net.frontend import Frontend
+from heronstall.net.leaving import Leaving
 from heronstall.net.loop import READ, Coroutine, Loop, clock
+from heronstall.net.operations import Operations
 from heronstall.net.server_table import ServerTable
 from heronstall.operator import Operator, OperatorError, read, start_logging
 
@@ -37,18 +40,27 @@
     def __init__(self, config: Config, loop: Loop) -> None:
         offset = time.time_ns() // 1000 - clock()
         born = loop.now
-        half = (config.sockets - RESERVED) // 2  # a session holds one descriptor on either side
+        kept = RESERVED + (CALLERS if config.operator else 0)
+        half = (config.sockets - kept) // 2  # a session holds one descriptor on either side
         self.config, self.dispatcher = config, Dispatcher(config, loop)
         pool = Pool(loop, config, half)
         self.table = table = self.dispatcher.table = ServerTable(config, loop, offset, self.dispatcher.post)
         table.moved = pool.forget
         self.dispatcher.backend = HttpBackend(config, loop, self.dispatcher, pool)
 
-        def ready() -> bool:
-            return table.any_serving() and (table.heard or loop.now - born > FIRST_LIST)
+        def settled() -> bool:
+            return table.heard or loop.now - born > FIRST_LIST
 
         table.start()
-        self.frontend = Frontend(config, loop, self.dispatcher, ready, half)
+        self.leaving = Leaving(loop)
+        self.frontend = Frontend(
+            config, loop, self.dispatcher, lambda: table.any_serving() and settled(), half, self.leaving
+        )
+        if config.operator is not None:
+            operations = Operations(
+                self.dispatcher, table, self.leaving, lambda: bool(table.listed()) and settled()
+            )
+            self.door = Door(loop, config.operator, operations)
 
     def signals(self, waker: socket.socket) -> Coroutine[None]:
         """Carry out the signals whose numbers come in at the waker."""
@@ -59,7 +71,7 @@
                     self.reload(os.environ)
                 elif number in ENDS:
                     say(log, events.DRAINING, signal=signal.Signals(number).name)
-                    self.frontend.drain()
+                    self.leaving.leave()
 
     def reload(self, environ: Mapping[str, str]) -> None:
         """Read the configuration again; a wrong one changes nothing."""
--- a/heronstall/config.py
+++ b/heronstall/config.py
@@ -216,6 +216,7 @@
     keepalive: int
     drain_grace: int
     told: str  # the settings object as JSON, for a trace
+    operator: Address | None = None  # where the operators' staff call; nothing is opened without it
 
 
 def load(environ: Mapping[str, str]) -> Config:
@@ -236,6 +237,7 @@
     `known` and `seed` are not among them: they are of use at a start only and are new in each file.
     """
     keys = {"name": "name", "listen": "listen", "sockets": "limits.sockets", "memory": "limits.memory_mb"}
+    keys["operator"] = "operator"
     passed = ("discovery", "known", "seed", "told")
     changed = [f.name for f in fields(Config) if getattr(old, f.name) != getattr(new, f.name)]
     return sorted({keys.get(name, "settings") for name in changed if name not in passed})
@@ -253,7 +255,12 @@
 
 
 def _told(environ: Mapping[str, str]) -> dict[str, str]:
-    names = {"NODE_NAME": "name", "NODE_LISTEN": "listen", "NODE_DISCOVERY": "discovery"}
+    names = {
+        "NODE_NAME": "name",
+        "NODE_LISTEN": "listen",
+        "NODE_DISCOVERY": "discovery",
+        "NODE_OPERATOR": "operator",
+    }
     return {key: environ[name] for name, key in names.items() if environ.get(name)}
 
 
@@ -301,4 +308,5 @@
         keepalive=limits.whole("keepalive", 5 * SECOND, 1),
         drain_grace=s.table("rules").whole("drainGrace", 2 * SECOND),
         told=ujson.dumps(told),
+        operator=None if t.get("operator") is None else address(t.text("operator"), "operator"),
     )
--- a/heronstall/decide.py
+++ b/heronstall/decide.py
@@ -220,6 +220,10 @@
             self._out.append(i.WakeAt(self._wake_at))
         return self._out
 
+    def avoided(self, now: int) -> list[int]:
+        """The workers that are left out now by a decision of this node, though they are listed as active."""
+        return [w.entry.worker for w in self._active if w.ejected_until > now]
+
     def _arrive(self, now: int, e: i.Arrival) -> None:
         if e.request in self._jobs or not 0 <= e.cls < len(self._set.classes):
             return
@@ -772,9 +776,6 @@
         if not self._movable[job.cls]:
             if a.started is None and now - a.sent < SILENCE:
                 self._remind(a.sent + SILENCE, job, a)
-            elif a.started is None and self._set.probes and a.worker.probe_until <= now:
-                self._probe(now, a.worker)
-                self._remind(now + SILENCE, job, a)
             return
         silent_at = a.last_sign + 3 * self._set.progress if self._set.progress else job.give_up
         if a.started is not None and now < silent_at:
--- a/heronstall/net/backend.py
+++ b/heronstall/net/backend.py
@@ -274,6 +274,7 @@
         try:
             connection = yield from pool.take(self._server, self._until)
             yield from connection.write(self._request(connection), self._until)
+            self._backend.dispatcher.written()
             response = yield from pool.first_word(connection, self._until)
             ending = yield from self._answer(connection, response)
             self._end(ending)
--- a/heronstall/net/connection.py
+++ b/heronstall/net/connection.py
@@ -94,6 +94,21 @@
         self._end += got
         return got
 
+    def line(self) -> bytes | None:
+        """The next line without its end, taken out; None while there is none that is whole."""
+        at = self._bytes.find(b"\n", self._start, self._end)
+        if at < 0:
+            return None
+        line = bytes(self._bytes[self._start : at])
+        self._start = at + 1
+        return line
+
+    def rest(self) -> bytes:
+        """All that is left, taken out."""
+        rest = bytes(self._bytes[self._start : self._end])
+        self._start = self._end = 0
+        return rest
+
     def feed(self, parser: h11.Connection) -> None:
         """Hand the parser the next bytes, not more than it can want for one message part."""
         step = min(len(self), FEED)
@@ -106,13 +121,38 @@
                 self._bytes = bytearray(FIRST_SIZE)
 
 
-class Connection:
-    """A non-blocking socket with its buffer and parser. Whoever makes it closes it."""
+class Stream:
+    """A non-blocking socket with its buffer. Whoever makes it closes it."""
 
-    def __init__(self, loop: Loop, sock: socket.socket, role: type[h11.CLIENT] | type[h11.SERVER]) -> None:
+    def __init__(self, loop: Loop, sock: socket.socket) -> None:
+        sock.setblocking(False)
         self.loop, self.sock = loop, sock
-        self.parser = h11.Connection(role, max_incomplete_event_size=HEAD_LIMIT)
         self.buffer = Buffer()
+
+    def write(self, data: bytes, until: int | None) -> Coroutine[None]:
+        """Write all of it. Raises Ended UNSENT or UNSENT_IN_TIME if that cannot be."""
+        with memoryview(data) as view:
+            at = 0
+            while at < len(view):
+                try:
+                    at += self.sock.send(view[at:])
+                except BlockingIOError:
+                    if not (yield self.sock.fileno(), WRITE, until):
+                        raise Ended(Ending.UNSENT_IN_TIME) from None
+                except OSError as error:
+                    raise Ended(Ending.UNSENT, str(error)) from None
+
+    def close(self) -> None:
+        """Close it, at the end of the batch in hand."""
+        self.loop.close(self.sock)
+
+
+class Connection(Stream):
+    """A stream of HTTP, with its parser."""
+
+    def __init__(self, loop: Loop, sock: socket.socket, role: type[h11.CLIENT] | type[h11.SERVER]) -> None:
+        super().__init__(loop, sock)
+        self.parser = h11.Connection(role, max_incomplete_event_size=HEAD_LIMIT)
         self.ended = False  # the far end will send nothing more
         self.head = b""  # a server's: the raw bytes that the last request's head was read from
         self.idle_since = self._turn = loop.now
@@ -167,19 +207,6 @@
                 raise Ended(Ending.TIMED_OUT)
             yield -1, 0, self.loop.now + 1
 
-    def write(self, data: bytes, until: int | None) -> Coroutine[None]:
-        """Write all of it. Raises Ended UNSENT or UNSENT_IN_TIME if that cannot be."""
-        with memoryview(data) as view:
-            at = 0
-            while at < len(view):
-                try:
-                    at += self.sock.send(view[at:])
-                except BlockingIOError:
-                    if not (yield self.sock.fileno(), WRITE, until):
-                        raise Ended(Ending.UNSENT_IN_TIME) from None
-                except OSError as error:
-                    raise Ended(Ending.UNSENT, str(error)) from None
-
     def fresh(self) -> bool:
         """Whether the far end still holds this idle connection open and has said nothing out of turn."""
         try:
@@ -190,9 +217,19 @@
             return False
         return False
 
-    def close(self) -> None:
-        """Close it, at the end of the batch in hand."""
-        self.loop.close(self.sock)
+
+def listen(at: Address, backlog: int) -> socket.socket:
+    """A listening socket that does not block. Raises OSError."""
+    family = socket.AF_INET6 if ":" in at[0] else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(at)
+        sock.listen(backlog)
+    except OSError:
+        sock.close()
+        raise
+    return sock
 
 
 def connect(loop: Loop, to: Address, until: int) -> Coroutine[Connection]:
--- a/heronstall/net/dispatcher.py
+++ b/heronstall/net/dispatcher.py
@@ -18,8 +18,17 @@
 from heronstall.events import say
 from heronstall.net.connection import OUTCOME, Ending
 from heronstall.net.server_table import BackendServer
+from heronstall.ops.figures import Fate, Figures
 
 REPORT_EVERY = 10_000_000
+# What each kind of answer was to the client. One that has left counts as failed: nobody was served.
+FATE: dict[str, Fate] = {
+    "served": "succeeded",
+    "refused": "declined",
+    "failed": "aborted",
+    "unusable": "aborted",
+    "gone": "aborted",
+}
 log = logging.getLogger("heronstall.dispatcher")
 
 
@@ -82,6 +91,9 @@
     def handle(self, now: int, events: Sequence[i.Event]) -> list[i.Action]:
         """Take the events of one moment and say what to do."""
 
+    def avoided(self, now: int) -> list[int]:
+        """The listed servers that are left out at this moment by the decisions' own choice."""
+
 
 class Observer(Protocol):
     """Whoever wants to see what the decisions are told and what they say."""
@@ -93,10 +105,12 @@
 class Session:
     """One request of a client, from its last byte to its one final answer."""
 
-    __slots__ = ("number", "deadline", "job", "reply", "over", "attempts", "open")
+    __slots__ = ("number", "cls", "deadline", "job", "reply", "over", "attempts", "open")
 
-    def __init__(self, number: int, deadline: int, job: Any, reply: Callable[[Answer], None]) -> None:
-        self.number, self.deadline = number, deadline
+    def __init__(
+        self, number: int, cls: int, deadline: int, job: Any, reply: Callable[[Answer], None]
+    ) -> None:
+        self.number, self.cls, self.deadline = number, cls, deadline
         self.job = job  # what the protocol has to pass on; opaque here
         self.reply = reply
         self.over = False  # answered, or its client has left
@@ -115,6 +129,7 @@
         self._timer: Due | None = None
         self._next = 1
         self._counts: Counter[str] = Counter()
+        self.figures = Figures(config.classes)
         self.table: Table
         self.backend: Backend
         self.observer: Observer | None = None  # sees every turn of the decisions, and changes nothing
@@ -130,8 +145,9 @@
 
     def submit(self, arrival: i.Arrival, job: Any, reply: Callable[[Answer], None]) -> Session:
         """A request has come whole; `arrival` lacks only its number."""
-        session = Session(self._next, self._loop.now + arrival.time_left, job, reply)
+        session = Session(self._next, arrival.cls, self._loop.now + arrival.time_left, job, reply)
         self._next += 1
+        self.figures.taken()
         self._sessions[session.number] = session
         self.post(arrival._replace(request=session.number))
         return session
@@ -139,11 +155,14 @@
     def client_gone(self, session: Session) -> None:
         """The client left, or its answer can't be given any more."""
         if not session.over:
-            self._counts["answer.gone"] += 1
-            session.over = True
+            self._over(session, "gone")
             self.post(i.ClientGone(session.number))
             self._forget(session)
 
+    def written(self) -> None:
+        """An attempt's last byte has been written: from now on it may have run."""
+        self.figures.forwarded()
+
     def note(self, session: Session, server: BackendServer, index: int, share: float | None) -> None:
         """The job has started (no share), or a share of it is done."""
         self.post(i.JobNote(session.number, server.number, index, share))
@@ -171,6 +190,10 @@
         )
         self._forget(session)
 
+    def avoided(self) -> list[int]:
+        """The numbers of the servers that the decisions leave out now by their own choice."""
+        return self._balancer.avoided(self._loop.now)
+
     # ------------------------------------------------------------------ actions
 
     def _turn(self) -> None:
@@ -235,11 +258,16 @@
     def _answer(self, number: int, answer: Answer) -> None:
         session = self._sessions.get(number)
         if session is not None and not session.over:
-            session.over = True
-            self._counts[f"answer.{answer.kind}"] += 1
+            self._over(session, answer.kind)
             session.reply(answer)
             self._forget(session)
 
+    def _over(self, session: Session, kind: str) -> None:
+        """The one place where a session ends for its client, whatever ends it."""
+        session.over = True
+        self._counts[f"answer.{kind}"] += 1
+        self.figures.ended(session.cls, FATE[kind])
+
     def _forget(self, session: Session) -> None:
         if session.over and session.open is None:
             self._sessions.pop(session.number, None)
--- a/heronstall/net/frontend.py
+++ b/heronstall/net/frontend.py
@@ -17,8 +17,9 @@
 from heronstall.config import Config
 from heronstall.events import say
 from heronstall.net.backend import Job
-from heronstall.net.connection import BODY_LIMIT, Connection, Ended, Ending, shut_writing
+from heronstall.net.connection import BODY_LIMIT, Connection, Ended, Ending, listen, shut_writing
 from heronstall.net.dispatcher import Answer, Dispatcher
+from heronstall.net.leaving import Leaving, Stage
 from heronstall.net.loop import LEFT, READ, Coroutine, Loop, Task, sleep
 
 BACKLOG = 1024
@@ -37,7 +38,8 @@
 CANDIDATES = 8  # connections looked at when one is to be given up
 IDS_KEPT = 8192
 SCRAP = bytearray(64 * 1024)  # what is read only to be thrown away
-DRAIN_TIME = 750_000  # clients find their way to the others meanwhile
+DEAF_TIME = 750_000  # after closing has begun, no new connection is taken any more
+QUIET_TIME = 300_000  # a connection that has idled for so long can go in a drain
 # SIGKILL comes no sooner after SIGTERM than the longest deadline, taken as 3 s where it is longer, and 0.7 s
 # more. What came later than 0.7 s and has no answer then is lost: so whoever comes late is answered before.
 KILL_AFTER, LONGEST_DEADLINE = 700_000, 3_000_000
@@ -74,10 +76,17 @@
     """Accepts clients, reads their requests and gives each one final answer."""
 
     def __init__(
-        self, config: Config, loop: Loop, dispatcher: Dispatcher, ready: Callable[[], bool], limit: int
+        self,
+        config: Config,
+        loop: Loop,
+        dispatcher: Dispatcher,
+        ready: Callable[[], bool],
+        limit: int,
+        leaving: Leaving,
     ) -> None:
         self._config, self._loop, self._dispatcher = config, loop, dispatcher
-        self._ready, self._limit = ready, limit
+        self._ready, self._limit, self._leaving = ready, limit, leaving
+        leaving.close_idle, leaving.close_up = self._close_idle, self._close_up
         self._clients: dict[Connection, Task] = {}
         # In the order in which they are given up when room is wanted, each the longest waiting first: those
         # that are answered and only to be closed; those that have never brought a request that can be used,
@@ -89,16 +98,13 @@
         self._held = 0  # their sum
         self._room = max(2 * BODY_LIMIT, (config.memory - OWN_MEMORY) // BODIES_PART)
         self._ids: dict[bytes, None] = {}  # of the latest requests, so that none is taken for another
-        self._draining = self._closing = self._deaf = False
-        self._late_at = self._killed_at = 0  # once draining
+        self._closing = self._deaf = False
+        longest = max(c.deadline for c in config.settings.classes)
+        # From a signal to shortly before the kill that may follow it.
+        self._last = min(longest, LONGEST_DEADLINE) + KILL_AFTER - BEFORE_KILL
         self._deaf_at = 0  # when new connections are taken no more at the latest, once closing
         self._finished: Callable[[], None] = loop.stop
-        host, port = config.listen
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        self._listener = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind((host, port))
-        self._listener.listen(BACKLOG)
+        self._listener = listen(config.listen, BACKLOG)
         self._accepting = loop.spawn(self._accept(), "accept")
 
     # ------------------------------------------------------------------ connections
@@ -136,7 +142,6 @@
         self._ended(None)
 
     def _admit(self, sock: socket.socket) -> None:
-        sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = Connection(self._loop, sock, h11.SERVER)
         self._clients[connection] = self._loop.spawn(self._serve(connection), "session")
@@ -161,18 +166,15 @@
         self._clients[connection].kill()
         return True
 
-    def drain(self) -> None:
-        """Stop in an orderly way: first as ever, then closing what idles, at last when all is answered."""
-        if not self._draining:
-            self._draining = True
-            longest = max(c.deadline for c in self._config.settings.classes)
-            self._late_at = self._loop.now + LATE
-            self._killed_at = self._loop.now + min(longest, LONGEST_DEADLINE) + KILL_AFTER - BEFORE_KILL
-            self._loop.at(self._loop.now + DRAIN_TIME, self._close_up)
+    def _close_idle(self) -> None:
+        """Close what has idled for a moment; who has only just come may be about to ask."""
+        for connection in [*self._idle, *self._unproven]:
+            if self._loop.now - connection.idle_since >= QUIET_TIME:
+                self._close_if_quiet(connection)
 
     def _close_up(self) -> None:
         self._closing = True
-        self._deaf_at = self._loop.now + DRAIN_TIME
+        self._deaf_at = self._loop.now + DEAF_TIME
         for connection in [*self._idle, *self._unproven]:
             self._close_if_quiet(connection)
         self._accepting.step(0)
@@ -199,6 +201,7 @@
                 if not len(connection.buffer) and not parser.trailing_data[0]:
                     row = self._idle if proven else self._unproven
                     row[connection] = None
+                    connection.idle_since = self._loop.now
                     yield from connection.more(self._loop.now + IDLE_TIME if proven else until)
                     row.pop(connection, None)
                 if proven:
@@ -287,7 +290,7 @@
     ) -> Coroutine[bool]:
         """Answer a whole request; whether it was one for the backend servers."""
         if arrival is None:
-            good = self._ready() and not self._draining
+            good = self._ready() and not self._leaving.away
             yield from self._say(
                 connection, 200 if good else 503, [TEXT], b"ready\n" if good else b"not ready\n"
             )
@@ -296,9 +299,10 @@
         task = self._clients[connection]
         session = self._dispatcher.submit(arrival, job, task.wake)
         last = session.deadline + self._config.settings.answer_grace
-        late = self._draining and self._loop.now >= self._late_at
+        leaving = self._leaving
+        late = leaving.stage is Stage.LEAVING and self._loop.now - leaving.since >= LATE
         if late:
-            last = min(last, self._killed_at)
+            last = min(last, leaving.since + self._last)
         got: Any = 0
         try:
             got = yield connection.sock.fileno(), LEFT, last
@@ -397,7 +401,7 @@
         if parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             raise Ended(Ending.CLOSED)
         headers = [*headers, (b"Content-Length", b"%d" % len(body))]
-        if self._closing or parser.their_state not in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED):
+        if self._leaving.parting or parser.their_state not in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED):
             headers.append((b"Connection", b"close"))
         data = parser.send(h11.Response(status_code=status, headers=headers, reason=REASON[status])) or b""
         data += (parser.send(h11.Data(data=body)) or b"") + (parser.send(h11.EndOfMessage()) or b"")
--- a/heronstall/net/server_table.py
+++ b/heronstall/net/server_table.py
@@ -17,6 +17,7 @@
 from heronstall.events import say
 from heronstall.net.connection import Connection, Ended, Ending, Lines, connect
 from heronstall.net.loop import Coroutine, Loop, Task, sleep
+from heronstall.ops.bans import Bans
 
 STATES: dict[str, Literal["active", "leaving", "left"]] = {
     "SERVING": "active",
@@ -36,14 +37,47 @@
 log = logging.getLogger("heronstall.server_table")
 
 
+UNLISTED = i.WorkerEntry(0)
+
+
 class BackendServer:
     """One backend server as the host knows it."""
 
-    __slots__ = ("number", "uid", "endpoint", "boot_ms", "off_since")
+    __slots__ = ("number", "uid", "endpoint", "boot_ms", "entry", "listed_off", "banned_since", "back_at")
 
-    def __init__(self, number: int, uid: str, endpoint: Address, boot_ms: int) -> None:
+    def __init__(
+        self,
+        number: int,
+        uid: str,
+        endpoint: Address,
+        boot_ms: int,
+        entry: i.WorkerEntry = UNLISTED,
+    ) -> None:
         self.number, self.uid, self.endpoint, self.boot_ms = number, uid, endpoint, boot_ms
-        self.off_since: int | None = None  # since when it has been told to drain or be gone
+        self.entry = entry._replace(worker=number)  # as the list has it
+        self.listed_off: int | None = None  # since when the list has told it to drain or be gone
+        self.banned_since: int | None = None  # since when it has been out by hand
+        self.back_at: int | None = None  # when its last ban ended
+
+    @property
+    def off_since(self) -> int | None:
+        """Since when it has been out, by the list or by hand; None while it may be sent to."""
+        if self.listed_off is None or self.banned_since is None:
+            return self.banned_since if self.listed_off is None else self.listed_off
+        return min(self.listed_off, self.banned_since)
+
+    def told(self) -> i.WorkerEntry:
+        """What the decisions are told of it.
+
+        Banned, it drains, whatever the list says. Back in, it has started at that moment at the earliest: a
+        server is taken out to be worked on, and the list may be late to tell of its restart.
+        """
+        entry = self.entry
+        if self.back_at is not None and self.back_at > (entry.started_at or 0):
+            entry = entry._replace(started_at=self.back_at)
+        if self.banned_since is not None and entry.state == "active":
+            entry = entry._replace(state="leaving")
+        return entry
 
 
 class _Watch:
@@ -60,8 +94,16 @@
 class ServerTable:
     """Turns discovery's lists into the module's, and uids into numbers."""
 
-    def __init__(self, config: Config, loop: Loop, offset: int, told: Callable[[i.WorkerList], None]) -> None:
+    def __init__(
+        self,
+        config: Config,
+        loop: Loop,
+        offset: int,
+        told: Callable[[i.WorkerList], None],
+        bans: Bans | None = None,
+    ) -> None:
         self._config, self._loop, self._told = config, loop, told
+        self._bans = bans or Bans()  # no list, reload or new watch lifts one
         self._offset = offset  # Unix time less the program's clock, fixed at the start
         self._by_uid: dict[str, BackendServer] = {}
         self.by_number: dict[int, BackendServer] = {}
@@ -106,6 +148,39 @@
         """Whether any server is there to send to."""
         return any(server.off_since is None for server in self._by_uid.values())
 
+    def listed(self) -> list[BackendServer]:
+        """The servers that the list names, those that drain too."""
+        return [server for server in self._by_uid.values() if server.entry.state != "left"]
+
+    def knows(self, uid: str) -> bool:
+        """Whether the list has named this server, lately or with a ban since."""
+        return uid in self._by_uid or self._bans.known(uid)
+
+    def ban(self, uid: str, out: bool) -> bool:
+        """Take a server out by hand or put it back; whether that changes anything."""
+        changed = self._bans.put(uid, out, self._loop.now + self._offset)
+        if changed:
+            self.banned([uid])
+        return changed
+
+    def banned(self, uids: list[str]) -> None:
+        """The words on these servers have changed: tell the decisions."""
+        entries = []
+        for uid in uids:
+            server = self._by_uid.get(uid)
+            if server is not None and self._look_up(server):
+                entries.append(server.told())
+        if entries:
+            self._told(i.WorkerList("changes", tuple(entries)))
+
+    def _look_up(self, server: BackendServer) -> bool:
+        """Put to a server what the book of bans says; whether it went out or came back."""
+        was, since = server.banned_since, self._bans.since(server.uid)
+        server.banned_since = None if since is None else since - self._offset
+        if was is not None and since is None:
+            server.back_at = self._loop.now
+        return (was is None) != (since is None)
+
     def _keep_up(self, watch: _Watch) -> Coroutine[None]:
         pause = PAUSE
         apart = TURNED_AWAY * self._config.settings.nodes
@@ -184,26 +259,29 @@
         if whole:
             named = {row[0] for row in rows}
             for uid, old in self._by_uid.items():
-                if uid not in named and old.off_since is None:
-                    old.off_since = now  # missing from a whole list: gone
+                if uid not in named:  # missing from a whole list: gone
+                    old.listed_off = now if old.listed_off is None else old.listed_off
+                    old.entry = old.entry._replace(state="left")
         entries = []
         for uid, endpoint, boot_ms, state, entry in rows:
             server = self._by_uid.get(uid)
             if server is None:
-                server = self._by_uid[uid] = BackendServer(self._next, uid, endpoint, boot_ms)
+                server = self._by_uid[uid] = BackendServer(self._next, uid, endpoint, boot_ms, entry)
                 self.by_number[self._next] = server
                 self._next += 1
+                self._look_up(server)
             elif (server.endpoint, server.boot_ms) != (endpoint, boot_ms):
                 # Guards against writing to the old process, or the old address, of a server that came back.
                 server.endpoint, server.boot_ms = endpoint, boot_ms
                 self.moved(server)
             if state == "active":
-                server.off_since = None
-            elif server.off_since is None:
-                server.off_since = now
-            entries.append(entry._replace(worker=server.number))
+                server.listed_off = None
+            elif server.listed_off is None:
+                server.listed_off = now
+            server.entry = entry._replace(worker=server.number)
+            entries.append(server.told())
         for old in list(self._by_uid.values()):
-            if old.off_since is not None and now - old.off_since > FORGET:
+            if old.listed_off is not None and now - old.listed_off > FORGET:
                 del self._by_uid[old.uid], self.by_number[old.number]
         if entries or whole:
             scope = "persisted" if persisted else "complete" if whole else "changes"
--- /dev/null
+++ b/tests/test_door.py
@@ -0,0 +1,211 @@
+"""The operators' door over loopback: words, figures, bans and the drain, between scripted peers."""
+
+from __future__ import annotations
+
+import socket
+import unittest
+from typing import Any
+from unittest import mock
+
+from heronstall.__main__ import Program as Dispatching
+from heronstall.config import ConfigError, configuration
+from heronstall.net.door import CALLERS, LINE
+from heronstall.net.loop import Loop
+from tests.test_net import Peer, Story, raw_config
+
+
+class Operated(Story):
+    """A node with a door."""
+
+    operated = True
+
+    def call(self, line: str | bytes) -> str:
+        """One call, and all that is said to it."""
+        caller = Peer(socket.create_connection(self.door))
+        caller.sock.sendall(line if isinstance(line, bytes) else line.encode() + b"\n")
+        self.spin(lambda: self.gone(caller))
+        return caller.got.decode()
+
+    def figures(self) -> dict[str, int]:
+        *rows, end = self.call("INFO").splitlines()
+        self.assertEqual(end, "END")
+        self.assertTrue(all(row.startswith("svc.") for row in rows))
+        return {name: int(figure) for name, figure in (row[4:].split("=") for row in rows)}
+
+    def tell(self, *numbers: int, rev: int, **more: Any) -> None:
+        """A list from discovery."""
+        self.program.table.take(self.table(*numbers, rev=rev, **more))
+
+
+class Words(Operated):
+    def test_each_call_has_its_reply_and_what_is_no_call_gets_one_no(self) -> None:
+        self.program.table.heard = True
+        for line, reply in (
+            ("PING", "YES serving"),
+            (b"PING\r\n", "YES serving"),
+            (b"PING\nREJOIN\n", "YES serving"),  # a connection carries one line
+            ("ping", "NO such call"),
+            ("", "NO such call"),
+            (b"\xff\x00\xfe\n", "NO not text"),
+            ("PING now", "NO PING wants nothing else"),
+            ("INFO all", "NO INFO wants nothing else"),
+            ("DETACH", "NO DETACH wants one id"),
+            ("DETACH s-0 s-1", "NO DETACH wants one id"),
+            ("DETACH s-9", "NO never listed"),
+            ("ATTACH s-9", "NO never listed"),
+            ("ATTACH s-0", "YES attached already"),
+            ("DETACH s-0", "YES detached"),
+            ("DETACH s-0", "YES detached already"),
+            ("ATTACH s-0", "YES attached"),
+            ("REJOIN", "YES serving already"),
+            ("LAMEDUCK", "YES draining"),
+            ("LAMEDUCK", "YES drained already"),
+            ("PING", "YES drained"),
+            ("REJOIN", "YES serving"),
+            (b"x" * (LINE + 1), "NO such call"),  # endless: said as soon as it is too long
+        ):
+            with self.subTest(line):
+                self.assertEqual(self.call(line), reply + "\n")
+
+    def test_a_call_may_come_in_pieces_beside_many_that_hold_half_a_line(self) -> None:
+        half = [Peer(socket.create_connection(self.door)) for _ in range(3 * CALLERS)]
+        for peer in half:
+            peer.sock.sendall(b"PI")
+            self.rest(0.001)
+        self.assertIn("END", self.call("INFO"))
+        self.assertEqual(sum(peer.read() == b"" and not peer.closed for peer in half), CALLERS - 1)
+        half[-1].sock.sendall(b"NG\n")
+        self.spin(lambda: half[-1].read())
+        self.assertTrue(half[-1].got.startswith((b"YES", b"NO")))
+        with mock.patch("heronstall.net.door.CALL_TIME", 10_000):
+            late = Peer(socket.create_connection(self.door))
+            late.sock.sendall(b"PING")
+            self.spin(lambda: self.gone(late))
+
+    def test_nothing_is_opened_where_no_address_is_told_and_a_wrong_one_is_named(self) -> None:
+        program = Dispatching(configuration(raw_config()), Loop())
+        self.assertFalse(hasattr(program, "door"))
+        with self.assertRaisesRegex(ConfigError, "^operator: "):
+            configuration(raw_config(operator="nowhere"))
+
+
+class FullHouse(Operated):
+    sockets = 64  # with the door, four clients
+
+    def test_the_door_answers_while_clients_hold_every_descriptor(self) -> None:
+        crowd = [self.client() for _ in range(60)]
+        self.rest(0.05)
+        self.assertIn("END", self.call("INFO"))
+        self.assertEqual(len(crowd), 60)
+
+
+class Counting(Operated):
+    def test_figures_are_what_clients_and_servers_saw_whatever_ended_a_job(self) -> None:
+        for n, state in enumerate(("done", "failed", "done", "leaves", "refused")):
+            client = self.ask("unsafe" if n < 3 else "keyed", name=f"id-{n}")
+            if state == "refused":
+                self.call("DETACH s-0")
+                self.call("DETACH s-1")
+            server = self.dispatched()
+            self.assertEqual(self.figures()["outstanding"], 1)
+            if state == "leaves":
+                client.sock.close()
+                self.spin(lambda: self.figures()["outstanding"] == 0)
+            elif state == "refused":
+                server.sock.sendall(
+                    b"HTTP/1.1 503 Full\r\nSrv-Declined: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+                )
+                self.assertEqual(self.status(client), 503)
+            else:
+                server.sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                server.say(f'{{"id":"id-{n}","state":"{state}","result":"ok"}}')
+                server.sock.sendall(b"0\r\n\r\n")
+                self.assertEqual(self.status(client), 200 if state == "done" else 500)
+        self.assertEqual(
+            self.figures(),
+            {
+                "succeeded.unsafe": 2,
+                "succeeded.keyed": 0,
+                "declined.unsafe": 0,
+                "declined.keyed": 1,
+                "aborted.unsafe": 1,
+                "aborted.keyed": 1,
+                "forwards": 5,
+                "outstanding": 0,
+                "discovered": 2,
+                "ejected": 2,
+            },
+        )
+
+
+class Banning(Operated):
+    def test_no_list_lifts_a_ban_and_what_comes_back_is_cold(self) -> None:
+        table = self.program.table
+        told: list[Any] = []
+        table._told = told.append
+        self.call("DETACH s-0")
+        (ban,) = told[-1].entries
+        self.assertEqual((ban.worker, ban.state), (1, "leaving"))
+        server = table.by_number[1]
+        since = server.off_since
+        self.assertIsNotNone(since)
+        for rev, numbers in ((3, (0, 1)), (4, (1,)), (5, (0, 1))):  # it goes and comes back meanwhile
+            self.tell(*numbers, rev=rev)
+            self.assertEqual(server.off_since, since)
+            self.assertNotIn((1, "active"), [(e.worker, e.state) for e in told[-1].entries])
+        self.assertEqual(self.figures()["ejected"], 1)
+        self.call("ATTACH s-0")
+        (back,) = told[-1].entries
+        self.assertIsNone(server.off_since)
+        self.assertEqual((back.state, back.started_at), ("active", server.back_at))
+        self.tell(0, 1, rev=6)  # the list says that it started long ago: it may be late
+        self.assertEqual(told[-1].entries[0].started_at, server.back_at)
+
+    def test_with_every_server_out_by_hand_jobs_are_refused_and_not_sent(self) -> None:
+        self.call("DETACH s-0")
+        self.call("DETACH s-1")
+        client = self.ask(wait="0.5")
+        self.assertEqual(self.status(client), 503)
+        self.assertEqual(self.figures()["forwards"], 0)
+
+
+class Draining(Operated):
+    def healthy(self) -> bool:
+        client = self.client()
+        client.sock.sendall(b"GET /healthz HTTP/1.1\r\nHost: o\r\n\r\n")
+        return self.status(client) == 200
+
+    def test_a_drain_says_no_ends_what_idles_and_is_taken_back(self) -> None:
+        self.program.table.heard = True
+        self.assertTrue(self.healthy())
+        used = self.ask("unsafe", name="id-0")
+        server = self.dispatched()
+        self.call("LAMEDUCK")
+        self.assertFalse(self.healthy())
+        idle = self.client()
+        self.spin(lambda: self.gone(idle))
+        server.sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        server.say('{"id":"id-0","state":"done","result":"ok"}')
+        self.assertEqual(self.status(used), 200)
+        self.assertIn(b"connection: close", used.got.lower())
+        self.assertEqual(self.call("REJOIN"), "YES serving\n")
+        self.assertTrue(self.healthy())
+        stays = self.client()
+        self.rest(0.6)
+        self.assertFalse(self.gone(stays))
+
+    def test_a_signal_ends_a_drain_for_good(self) -> None:
+        self.front._finished = stopped = mock.Mock()
+        self.call("LAMEDUCK")
+        self.program.leaving.leave()
+        self.assertEqual(self.call("REJOIN"), "NO leaving\n")
+        self.assertEqual(self.call("LAMEDUCK"), "YES leaving already\n")
+        self.assertEqual(self.call("PING"), "NO leaving\n")
+        self.spin(lambda: stopped.called)
+
+
+del Story  # its stories are run where it is defined
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -122,6 +122,7 @@
 
     sockets: int = 1024
     memory: float = 192
+    operated = False  # whether operators have a door
 
     def setUp(self) -> None:
         logging.disable(logging.CRITICAL)
@@ -135,10 +136,13 @@
             discovery=at(self.discovery),
             known=self.table(0, 1),
             limits={"sockets": self.sockets, "memory_mb": self.memory},
+            operator="127.0.0.1:0" if self.operated else None,
         )
         self.program = Dispatching(configuration(self.raw), self.loop)
         self.front: Frontend = self.program.frontend
         self.address = self.front._listener.getsockname()
+        if self.operated:
+            self.door = self.program.door._listener.getsockname()
         self.watch = self.accept(self.discovery)
 
     def table(
@@ -295,7 +299,7 @@
                 self.watch.say(json.dumps(self.table(0, 1, rev=2)))
                 self.rest(0.05)
             else:
-                self.front.drain()
+                self.program.leaving.leave()
 
     def test_a_drain_still_accepts_then_closes_idle_clients_and_finishes_what_was_taken(self) -> None:
         stopped = mock.Mock()
@@ -303,7 +307,7 @@
         idle = self.client()
         taken = self.ask()
         server = self.dispatched()
-        self.front.drain()
+        self.program.leaving.leave()
         self.rest(0.3)
         late = self.client()
         late.sock.sendall(b"GET /healthz HTTP/1.1\r\nHost: o\r\n\r\n")
@@ -320,15 +324,17 @@
     def test_who_comes_late_in_a_drain_has_an_answer_before_the_kill(self) -> None:
         with (
             mock.patch("heronstall.net.frontend.LATE", 0),
-            mock.patch("heronstall.net.frontend.LONGEST_DEADLINE", 500_000),
+            mock.patch.object(
+                self.front, "_last", 1_000_000
+            ),  # µs from the signal to shortly before the kill
         ):
             early = self.ask()
             self.dispatched()
-            self.front.drain()
+            self.program.leaving.leave()
             late = self.ask(name="id-2")
             self.dispatched()
             self.assertEqual(self.status(late), 500)
-            self.assertLess(self.loop.now, self.front._killed_at + 200_000)
+            self.assertLess(self.loop.now, self.program.leaving.since + self.front._last + 200_000)
         self.assertEqual(early.read(), b"")
 
 
@@ -626,9 +632,9 @@
     def test_nothing_is_first_written_to_a_server_long_told_off(self) -> None:
         server = BackendServer(1, "s", self.servers[2].getsockname(), 0)
         _, take = self.pool(server)
-        server.off_since = self.loop.now  # told just now: the grace lasts
+        server.listed_off = self.loop.now  # told just now: the grace lasts
         self.assertIsInstance(take(), Connection)
-        server.off_since = self.loop.now - 2_000_000
+        server.listed_off = self.loop.now - 2_000_000
         self.assertIs(take(), Ending.WITHDRAWN)
 
 
