--- a/heronstall/__main__.py
+++ b/heronstall/__main__.py
@@ -24,7 +24,7 @@
 from heronstall.net.loop import READ, Coroutine, Loop, clock
 from heronstall.net.operations import Operations
 from heronstall.net.server_table import ServerTable
-from heronstall.net.succession import Claim, Succession, claim
+from heronstall.net.succession import Claim, Share, Succession, claim
 from heronstall.operator import Operator, OperatorError, read, start_logging
 from heronstall.ops.bans import Bans
 
@@ -110,11 +110,16 @@
         kept = RESERVED + (CALLERS if self.config.operator else 0)
         return max(1, (self.config.sockets // (1 + both) - kept) // 2)
 
-    def _share(self, both: bool) -> None:
-        """Two processes serve as this dispatcher and have its room together, or one has it alone again."""
-        half = self._half(both)
+    def _share(self, share: Share) -> None:
+        """Whether two processes have the dispatcher's room together.
+
+        Each has half of it, until one leaves: then each client's connection is with one of the two, and what
+        is left in the other are a few.
+        """
+        half = self._half(share is not Share.ALONE)
         self.pool.limit(half)
-        self.frontend.share(half, both)
+        clients = self._half(False) * 7 // 8 if share is Share.AFTER else half
+        self.frontend.share(clients, share is not Share.ALONE)
 
     def _leave(self) -> None:
         self.leaving.leave()
@@ -124,7 +129,8 @@
         """Leave clients to the heir, if there is one and a signal has come, whichever came first."""
         leaving = self.leaving.stage is Stage.LEAVING
         if leaving and self.succession is not None and self.succession.heir:
-            self.succession.tell_ids(self.frontend.ids())
+            self.succession.leave(self.frontend.ids())
+            self.pool.rest()
             self.frontend.hand_over(self.succession.pass_on)
 
     def signals(self, waker: socket.socket) -> Coroutine[None]:
--- a/heronstall/net/backend.py
+++ b/heronstall/net/backend.py
@@ -75,6 +75,11 @@
         """Hold so many connections at the most from now on; those beyond it go as they are given back."""
         self._limit = limit
 
+    def rest(self) -> None:
+        """Close all that idle: this process leaves, and another one needs the room."""
+        while self._close_idlest():
+            pass
+
     def take(self, server: BackendServer, until: int) -> Coroutine[Connection]:
         """A connection to write a first byte on, now. Raises Ended if there is none."""
         connection = self._reuse(server)
--- a/heronstall/net/succession.py
+++ b/heronstall/net/succession.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import contextlib
+import enum
 import logging
 import os
 import socket
@@ -90,6 +91,14 @@
     return None
 
 
+class Share(enum.Enum):
+    """With whom this process shares what the dispatcher may hold."""
+
+    ALONE = "nobody"
+    BESIDE = "a process that takes clients as well"
+    AFTER = "a process that hands its clients over"
+
+
 class Succession:
     """This process's part: heir of the one before, and predecessor of the next."""
 
@@ -113,7 +122,7 @@
         self.know: Callable[[list[str]], None] = lambda ids: None  # ids of jobs that others had
         self.begun = False  # this process has told the one before that it takes clients
         self.heired: Callable[[], None] = lambda: None  # an heir takes clients from now on
-        self.shared: Callable[[bool], None] = lambda both: None  # whether two processes share the room
+        self.shared: Callable[[Share], None] = lambda share: None  # with whom this process shares the room
         self.orphaned: Callable[[], None] = lambda: None  # the heir has gone again
 
     # ------------------------------------------------------------------ heir
@@ -122,7 +131,7 @@
         """Go on with what the process before hands over."""
         channel.setblocking(False)
         self._before = channel
-        self.shared(True)
+        self.shared(Share.BESIDE)
         self._loop.spawn(self._inherit(channel), "inheriting")
 
     def _inherit(self, channel: socket.socket) -> Coroutine[None]:
@@ -142,6 +151,7 @@
                 told = _read(data)
                 if "ids" in told:
                     self.know([str(name) for name in told["ids"]])
+                    self.shared(Share.AFTER)
                 for sock in socks:
                     self.adopt(sock, told.get("proven") is True)
                     taken += 1
@@ -151,7 +161,7 @@
                 say(log, events.NOT_HANDED, reason=str(error))
         self._loop.close(channel)
         self._before = None
-        self.shared(self._heir is not None)
+        self.shared(Share.ALONE if self._heir is None else Share.BESIDE)
         say(log, events.INHERITED, connections=taken)
 
     # ------------------------------------------------------------------ predecessor
@@ -210,7 +220,7 @@
                 if told.get("ready") is True:
                     self._heir = channel
                     say(log, events.HEIR)
-                    self.shared(True)
+                    self.shared(Share.BESIDE)
                     self.heired()
                 else:
                     self._answer(channel, told)
@@ -220,7 +230,7 @@
             self._loop.close(channel)
             if self._heir is channel:
                 self._heir = None
-                self.shared(self._before is not None)
+                self.shared(Share.ALONE if self._before is None else Share.BESIDE)
                 say(log, events.HEIR_LOST)
                 self._publish()
                 self.orphaned()
@@ -250,9 +260,9 @@
             return False
         return True
 
-    def tell_ids(self, ids: list[str]) -> None:
-        """Tell the heir the ids of jobs that came here."""
-        for at in range(0, len(ids), IDS_AT_ONCE):
+    def leave(self, ids: list[str]) -> None:
+        """Tell the heir that this process leaves, and the ids of the jobs that it had."""
+        for at in range(0, max(1, len(ids)), IDS_AT_ONCE):
             if self._heir is not None:
                 with contextlib.suppress(OSError):
                     self._heir.send(_packet(ids=ids[at : at + IDS_AT_ONCE]))
