--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -9,8 +9,10 @@
 
 from heronstall.__main__ import Program as Dispatching
 from heronstall.config import ConfigError, configuration
+from heronstall.net.dispatcher import FATE
 from heronstall.net.door import CALLERS, LINE
 from heronstall.net.loop import Loop
+from heronstall.ops.figures import Figures
 from tests.test_net import Peer, Story, raw_config
 
 
@@ -101,6 +103,17 @@
 
 class Counting(Operated):
     def test_figures_are_what_clients_and_servers_saw_whatever_ended_a_job(self) -> None:
+        self.story()
+
+    def test_a_planted_miscount_of_attempts_is_seen(self) -> None:
+        with mock.patch.object(Figures, "forwarded", lambda figures: None), self.assertRaises(AssertionError):
+            self.story()
+
+    def test_a_planted_miscount_of_those_who_leave_is_seen(self) -> None:
+        with mock.patch.dict(FATE, {"gone": "succeeded"}), self.assertRaises(AssertionError):
+            self.story()
+
+    def story(self) -> None:
         for n, state in enumerate(("done", "failed", "done", "leaves", "refused")):
             client = self.ask("unsafe" if n < 3 else "keyed", name=f"id-{n}")
             if state == "refused":
