--- a/heronstall/__main__.py
+++ b/heronstall/__main__.py
@@ -89,7 +89,10 @@
 
         operations = Operations(self.dispatcher, self.table, self.leaving, begun)
         operations.changed = self.book.changed
-        self.door = Door(self.loop, address, operations)
+        try:
+            self.door = Door(self.loop, address, operations)
+        except OSError as error:
+            raise ConfigError(f"operator: cannot listen on {address[0]}:{address[1]}: {error}") from None
 
     def _succeed(self, path: Path, claimed: Claim | None, taking: Callable[[], bool]) -> None:
         """Be heir of the process before, if there is one, and ready for the one that comes after."""
@@ -188,6 +191,9 @@
     host, port = config.listen
     try:
         program = Program(config, loop, Path(folder) if (folder := os.environ.get("TMPDIR")) else None)
+    except ConfigError as error:  # an address that only the attempt shows to be of no use
+        say(log, events.CONFIG_WRONG, reason=str(error))
+        return 2
     except OSError as error:
         say(log, events.LISTEN_FAILED, host=host, port=port, reason=str(error))
         return 1
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -89,6 +89,8 @@
         self.assertFalse(hasattr(program, "door"))
         with self.assertRaisesRegex(ConfigError, "^operator: "):
             configuration(raw_config(operator="nowhere"))
+        with self.assertRaisesRegex(ConfigError, "^operator: cannot listen on 192.0.2.1:9: "):
+            Dispatching(configuration(raw_config(operator="192.0.2.1:9")), Loop())
 
 
 class FullHouse(Operated):
