Hand clients over until all are, and keep a drain's word apart from the stage it is in

Cause: the way to the heir takes 278 connections at a time before EAGAIN (measured with a socket pair); what was left over was tried again only 0.75 s after the signal and then closed. And a leaving process that had been drained would, at the next call at its door, have written its old drain over the heir's REJOIN, for rejoin() kept the word while it was leaving. Change: Frontend._hand_again every 10 ms while anything idles; Leaving keeps the last word whatever the stage; LAMEDUCK at a leaving process counts for its heir, REJOIN there is refused and changes nothing. benchmarks/daily.py: INFO's cost idle.

--- a/benchmarks/daily.py
+++ b/benchmarks/daily.py
@@ -227,7 +227,16 @@
     """The door's figures."""
     process, at = await bench.start()
     print("idle:           ", spread(await pings(bench, at, 5)))
-    load = [asyncio.create_task(bench.client(time.monotonic() + 32)) for _ in range(4 * CLIENTS)]
+    costs: dict[int, list[float]] = {}
+    for rate in (0, 10, 0, 10):
+        before, until = cpu(process), time.monotonic() + 3.5
+        while time.monotonic() < until:
+            if rate:
+                await bench.call(at, "INFO")
+            await asyncio.sleep(0.1)
+        costs.setdefault(rate, []).append((cpu(process) - before) / 3.5)
+    print(f"CPU without and with ten INFO a second: {costs[0]}, {costs[10]}")
+    load = [asyncio.create_task(bench.client(time.monotonic() + 18)) for _ in range(4 * CLIENTS)]
     await asyncio.sleep(1)
     before = cpu(process)
     print("under load:     ", spread(await pings(bench, at, 10)))
@@ -241,15 +250,6 @@
     print("and in a crowd: ", spread(await pings(bench, at, 4)))
     for _, writer in crowd:
         writer.close()
-    costs: dict[int, list[float]] = {}
-    for rate in (0, 10, 0, 10):
-        before, until = cpu(process), time.monotonic() + 3.5
-        while time.monotonic() < until:
-            if rate:
-                await bench.call(at, "INFO")
-            await asyncio.sleep(0.1)
-        costs.setdefault(rate, []).append((cpu(process) - before) / 3.5)
-    print(f"CPU without and with ten INFO a second: {costs[0]}, {costs[10]}")
     await asyncio.gather(*load)
     print("clients:", dict(bench.seen), spread(bench.latencies))
     process.send_signal(signal.SIGTERM)
--- a/heronstall/net/book.py
+++ b/heronstall/net/book.py
@@ -46,10 +46,11 @@
 
     def changed(self) -> None:
         """An operator has taken a server out or in, or begun or ended the drain."""
-        if self._leaving.drained != (self._drain is not None and self._drain.out):
+        drained = self._leaving.drained
+        if drained != (self._drain is not None and self._drain.out):
             now = self._loop.now + self._offset
             before = self._drain.at if self._drain else 0
-            self._drain = Word(max(now, before + 1), self._leaving.drained)
+            self._drain = Word(max(now, before + 1), drained)
         self._write()
 
     def _again(self) -> None:
--- a/heronstall/net/frontend.py
+++ b/heronstall/net/frontend.py
@@ -36,6 +36,7 @@
 # program does not need for itself.
 OWN_MEMORY, BODIES_PART = 20 * 1024 * 1024, 3
 CANDIDATES = 8  # connections looked at when one is to be given up
+HAND_AGAIN = 10_000
 IDS_KEPT, IDS_TOLD = 8192, 1024  # of the latest requests; those that an heir is told
 SCRAP = bytearray(64 * 1024)  # what is read only to be thrown away
 DEAF_TIME = 750_000  # after closing has begun, no new connection is taken any more
@@ -182,7 +183,7 @@
         self._pass_on = pass_on
         self._accepting.kill()
         self._deaf = True
-        self._hand_idle()
+        self._hand_again()
         self._ended(None)
 
     def take_back(self) -> None:
@@ -192,6 +193,13 @@
             self._deaf = False
             self._accepting = self._loop.spawn(self._accept(), "accept")
 
+    def _hand_again(self) -> None:
+        """Hand over what idles, until all of it is: the way to the heir takes a few hundred at a time."""
+        if self._pass_on is not None:
+            self._hand_idle()
+            if self._idle or self._unproven:
+                self._loop.at(self._loop.now + HAND_AGAIN, self._hand_again)
+
     def _hand_idle(self) -> None:
         for row in (self._idle, self._unproven):
             for connection in list(row):
--- a/heronstall/net/leaving.py
+++ b/heronstall/net/leaving.py
@@ -45,22 +45,23 @@
 
     @property
     def drained(self) -> bool:
-        """Whether a drain was called for and not taken back, whatever signal has come since."""
+        """What was said by hand last, whatever signal has come: a process that takes over goes by it."""
         return self._drained
 
     def drain(self) -> None:
-        """A drain is asked for; on the way out already, nothing changes."""
+        """A drain is asked for; on the way out already, nothing more comes of it here."""
+        self._drained = True
         if self.stage is Stage.SERVING:
-            self.stage, self._drained = Stage.DRAINED, True
+            self.stage = Stage.DRAINED
             self._in(PART_TIME, self._part)
             self._in(IDLE_TIME, self._sweep)
 
-    def rejoin(self) -> bool:
-        """A drain is taken back; False when a signal has come, which cannot be."""
+    def rejoin(self) -> None:
+        """A drain is taken back. A signal cannot be."""
+        self._drained = False
         if self.stage is Stage.DRAINED:
             self._stop()
-            self.stage, self.parting, self._drained = Stage.SERVING, False, False
-        return self.stage is Stage.SERVING
+            self.stage, self.parting = Stage.SERVING, False
 
     def leave(self) -> None:
         """A signal has come. What a drain had begun goes on."""
--- a/heronstall/net/operations.py
+++ b/heronstall/net/operations.py
@@ -62,15 +62,14 @@
         """Drain: `/healthz` says no from now on, and clients are led away."""
         before = self._leaving.stage
         self._leaving.drain()
-        if before is Stage.SERVING:
-            self.changed()
+        self.changed()
         return Reply(True, "draining" if before is Stage.SERVING else f"{before.value} already")
 
     def rejoin(self) -> Reply:
         """End the drain. A signal's cannot be ended."""
         before = self._leaving.stage
-        if not self._leaving.rejoin():
+        if before is Stage.LEAVING:
             return Reply(False, "leaving")
-        if before is Stage.DRAINED:
-            self.changed()
+        self._leaving.rejoin()
+        self.changed()
         return Reply(True, "serving" if before is Stage.DRAINED else "serving already")
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -22,6 +22,8 @@
 from heronstall.ops.handover import Folder, State, Wrong, pack, unpack
 from tests.test_net import PATIENCE, ROOT, SETTINGS, STREAM, Peer, at, listener, raw_config
 
+CROWD = 400  # connections: more than the way between two processes holds at a time
+
 
 class Replacing(unittest.TestCase):
     """Programs that share a folder and an address, one backend server, a discovery that says nothing."""
@@ -35,7 +37,7 @@
         self.clients: list[Peer] = []
         self.logs: dict[int, Path] = {}
 
-    def start(self, doors: dict[int, tuple[str, int]] = {}, **environ: str) -> tuple[Any, Any]:  # noqa: B006
+    def start(self, **environ: str) -> tuple[Any, Any]:
         """A program and its door."""
         with listener() as free:
             door = free.getsockname()
@@ -170,6 +172,19 @@
         self.ask(idle, "id-1")  # had by the first
         self.spin(lambda: b" 400 " in idle.read())
 
+    def test_a_crowd_of_idle_clients_changes_over_whole(self) -> None:
+        first, _ = self.start()
+        crowd = [self.client() for _ in range(CROWD)]
+        self.whole(crowd[0], "id-1")
+        _, later = self.start()
+        first.send_signal(signal.SIGTERM)
+        self.assertEqual(first.wait(PATIENCE), 0)
+        self.assertFalse(any(self.gone(client) for client in crowd[::30]))
+        self.whole(crowd[0], "id-2")
+        log = next(path for pid, path in self.logs.items() if pid != first.pid)
+        self.spin(lambda: f"{CROWD} connections came from it" in log.read_text())
+        self.assertEqual(self.figure(later, "outstanding"), 0)
+
     def test_a_drain_comes_along_and_is_taken_back_at_either_door(self) -> None:
         _, door = self.start()
         self.assertEqual(self.call(door, "LAMEDUCK"), "YES draining\n")
