Keep a process that has lost its heir from standing where a later one stands by then

Cause: written as a story, three replacements close together: the first still answers a job while its heir ends in favour of a third; on losing its heir it put its own socket back over the third's (_meet's last lines), so the fourth asked a process that was about to end, was handed nothing, and the third's clients were closed. Change: it looks first whether some process answers there.

--- a/heronstall/net/succession.py
+++ b/heronstall/net/succession.py
@@ -232,9 +232,22 @@
                 self._heir = None
                 self.shared(Share.ALONE if self._before is None else Share.BESIDE)
                 say(log, events.HEIR_LOST)
-                self._publish()
+                if not self._answered():  # guards whoever has come after the heir and stands there by now
+                    self._publish()
                 self.orphaned()
 
+    def _answered(self) -> bool:
+        """Whether some process answers where an heir would ask."""
+        with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET | socket.SOCK_NONBLOCK) as ask:
+            try:
+                with _reachable(self._path) as name:
+                    ask.connect(name)
+            except BlockingIOError:
+                return True  # and is asked by many
+            except OSError:
+                return False
+        return True
+
     def _answer(self, channel: socket.socket, told: dict[str, Any]) -> None:
         if told.get("node") != self._node or told.get("listen") != list(self._listen):
             channel.send(_packet(no="another node or address"))
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -185,6 +185,30 @@
         self.spin(lambda: f"{CROWD} connections came from it" in log.read_text())
         self.assertEqual(self.figure(later, "outstanding"), 0)
 
+    def test_replacements_may_follow_closely(self) -> None:
+        first, _ = self.start()
+        idle, busy = self.client(), self.client()
+        self.whole(idle, "id-1")
+        self.ask(busy, "id-2")
+        end = self.dispatched("id-2")
+        second, _ = self.start()
+        first.send_signal(signal.SIGTERM)
+        third, _ = self.start()
+        second.send_signal(signal.SIGTERM)
+        self.assertEqual(second.wait(PATIENCE), 0)
+        self.whole(idle, "id-3")
+        self.whole(self.client(), "id-4")
+        # The first has outlived its heir: what it took it answers itself, and its client comes again.
+        end.sock.sendall(STREAM)
+        end.say('{"id":"id-2","state":"done","result":"of id-2"}')
+        end.sock.sendall(b"0\r\n\r\n")
+        self.spin(lambda: busy.read().endswith(b"of id-2"))
+        self.assertEqual(first.wait(PATIENCE), 0)
+        self.start()  # by the third, though the first has lost its heir since
+        third.send_signal(signal.SIGTERM)
+        self.assertEqual(third.wait(PATIENCE), 0)
+        self.whole(idle, "id-5")
+
     def test_a_drain_comes_along_and_is_taken_back_at_either_door(self) -> None:
         _, door = self.start()
         self.assertEqual(self.call(door, "LAMEDUCK"), "YES draining\n")
