Take a server put back for started when the list says, where that was during its ban

Change: a start that the list tells of inside the ban is the start; the call's moment holds where none is told.

--- a/heronstall/net/server_table.py
+++ b/heronstall/net/server_table.py
@@ -53,6 +53,7 @@
         "listed_off",
         "banned_since",
         "back_at",
+        "was_out",
     )
 
     def __init__(
@@ -69,6 +70,7 @@
         self.listed_off: int | None = None  # since when the list has told it to drain or be gone
         self.banned_since: int | None = None  # since when it has been out by hand
         self.back_at: int | None = None  # when its last ban ended
+        self.was_out: int | None = None  # since when that ban had lasted, as far as this process knows
 
     @property
     def off_since(self) -> int | None:
@@ -80,11 +82,12 @@
     def told(self) -> i.WorkerEntry:
         """What the decisions are told of it.
 
-        Banned, it drains, whatever the list says. Back in, it has started at that moment at the earliest: a
-        server is taken out to be worked on, and the list may be late to tell of its restart.
+        Banned, it drains, whatever the list says. Back in, it has started during the ban, where the list has
+        told of that, and at its end otherwise: it was taken out to be worked on, and the list may be late.
         """
         entry = self.entry
-        if self.back_at is not None and self.back_at > (entry.started_at or 0):
+        told = entry.started_at is not None and self.was_out is not None and entry.started_at > self.was_out
+        if self.back_at is not None and not told and self.back_at > (entry.started_at or 0):
             entry = entry._replace(started_at=self.back_at)
         if self.banned_since is not None and entry.state == "active":
             entry = entry._replace(state="leaving")
@@ -196,6 +199,8 @@
         """Put to a server what the book of bans says; whether it went out or came back."""
         was, since, back = server.banned_since, self._bans.since(server.uid), self._bans.back(server.uid)
         server.banned_since = None if since is None else since - self._offset
+        if was is not None and since is None:
+            server.was_out = was
         server.back_at = None if back is None else back - self._offset
         return (was is None) != (since is None)
 
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -163,7 +163,7 @@
         self.assertEqual((ban.worker, ban.state), (1, "leaving"))
         server = table.by_number[1]
         since = server.off_since
-        self.assertIsNotNone(since)
+        assert since is not None
         for rev, numbers in ((3, (0, 1)), (4, (1,)), (5, (0, 1))):  # it goes and comes back meanwhile
             self.tell(*numbers, rev=rev)
             self.assertEqual(server.off_since, since)
@@ -175,6 +175,11 @@
         self.assertEqual((back.state, back.started_at), ("active", server.back_at))
         self.tell(0, 1, rev=6)  # the list says that it started long ago: it may be late
         self.assertEqual(told[-1].entries[0].started_at, server.back_at)
+        restarted = self.table(0, 1, rev=7)
+        boot = (since + 1_000 + table._offset) // 1000
+        restarted["targets"][0]["boot_ms"] = boot
+        table.take(restarted)  # now it tells of the restart, during the ban: that is exact
+        self.assertEqual(told[-1].entries[0].started_at, boot * 1000 - table._offset)
 
     def test_with_every_server_out_by_hand_jobs_are_refused_and_not_sent(self) -> None:
         self.call("DETACH s-0")
