Remember every server that was listed, so that a word on one long gone is not refused

Change: the uids of the latest 16,384 listed servers are kept, some 1 MB at the most where that many came and went.

--- a/heronstall/net/server_table.py
+++ b/heronstall/net/server_table.py
@@ -34,6 +34,7 @@
 TURNED_AWAY = 100_000  # times the number of dispatchers: the mean pause after discovery turned one away
 TABLE_LINE = 4 * 1024 * 1024
 FORGET = 600_000_000  # a server gone for so long loses its number
+EVER = 16_384  # uids remembered, so that an operator's word on one that is gone is not taken for a mistake
 log = logging.getLogger("heronstall.server_table")
 
 
@@ -121,6 +122,7 @@
         self._offset = offset  # Unix time less the program's clock, fixed at the start
         self._by_uid: dict[str, BackendServer] = {}
         self.by_number: dict[int, BackendServer] = {}
+        self._ever: dict[str, None] = {}  # every uid that was listed, the latest EVER of them
         self._zones, self._kinds = dict(config.zones), dict(config.kinds)
         self._next = 1
         self._watch: _Watch | None = None
@@ -175,8 +177,8 @@
         return [server for server in self._by_uid.values() if server.entry.state != "left"]
 
     def knows(self, uid: str) -> bool:
-        """Whether the list has named this server, lately or with a ban since."""
-        return uid in self._by_uid or self._bans.known(uid)
+        """Whether the list has named this server at any time, or one before us knew it."""
+        return uid in self._ever or self._bans.known(uid)
 
     def ban(self, uid: str, out: bool) -> bool:
         """Take a server out by hand or put it back; whether that changes anything."""
@@ -292,6 +294,9 @@
                 server = self._by_uid[uid] = BackendServer(self._next, uid, endpoint, boot_ms, entry)
                 self.by_number[self._next] = server
                 self._next += 1
+                self._ever[uid] = None
+                if len(self._ever) > EVER:
+                    del self._ever[next(iter(self._ever))]
                 self._look_up(server)
             elif (server.endpoint, server.boot_ms) != (endpoint, boot_ms):
                 # Guards against writing to the old process, or the old address, of a server that came back.
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -181,6 +181,15 @@
         table.take(restarted)  # now it tells of the restart, during the ban: that is exact
         self.assertEqual(told[-1].entries[0].started_at, boot * 1000 - table._offset)
 
+    def test_a_server_that_is_long_gone_was_listed_all_the_same(self) -> None:
+        self.tell(1, rev=3)
+        with mock.patch("heronstall.net.server_table.FORGET", -1):
+            self.tell(1, rev=4)
+        self.assertNotIn(1, self.program.table.by_number)
+        self.assertEqual(self.call("DETACH s-0"), "YES detached\n")
+        self.tell(0, 1, rev=5)
+        self.assertEqual(self.figures()["ejected"], 1)
+
     def test_with_every_server_out_by_hand_jobs_are_refused_and_not_sent(self) -> None:
         self.call("DETACH s-0")
         self.call("DETACH s-1")
