--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -636,6 +636,10 @@
         self.assertIsInstance(take(), Connection)
         server.listed_off = self.loop.now - 2_000_000
         self.assertIs(take(), Ending.WITHDRAWN)
+        server.listed_off = None
+        self.assertIsInstance(take(), Connection)
+        server.banned_since = self.loop.now - 2_000_000  # out by hand, whatever the list says
+        self.assertIs(take(), Ending.WITHDRAWN)
 
 
 class Memory(Story):
