Ask the kernel for non-blocking sockets once, and look at a hand-over only where there is an heir

Cause: read again for cost without an operator's address: Stream set every socket non-blocking, backend connections that were made so included (one more system call a connect), and each idle client cycle looked at the parser before it asked for an heir. Change: accepted sockets alone are set so; Frontend._hand asks for the heir first. 61 tests of net, door and replacement pass.

--- a/heronstall/net/connection.py
+++ b/heronstall/net/connection.py
@@ -125,7 +125,6 @@
     """A non-blocking socket with its buffer. Whoever makes it closes it."""
 
     def __init__(self, loop: Loop, sock: socket.socket) -> None:
-        sock.setblocking(False)
         self.loop, self.sock = loop, sock
         self.buffer = Buffer()
 
--- a/heronstall/net/door.py
+++ b/heronstall/net/door.py
@@ -58,6 +58,7 @@
             else:
                 if len(self._callers) >= CALLERS:
                     self._make_room()
+                sock.setblocking(False)
                 caller = Stream(self._loop, sock)
                 self._callers[caller] = self._loop.spawn(self._serve(caller), "a call at the door")
 
--- a/heronstall/net/frontend.py
+++ b/heronstall/net/frontend.py
@@ -154,6 +154,7 @@
         self._room = max(2 * BODY_LIMIT, room // BODIES_PART)
 
     def _admit(self, sock: socket.socket, proven: bool = False) -> None:
+        sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = Connection(self._loop, sock, h11.SERVER)
         self._clients[connection] = self._loop.spawn(self._serve(connection, proven), "session")
@@ -208,11 +209,13 @@
 
     def _hand(self, connection: Connection, proven: bool) -> bool:
         """Hand a connection to the heir if nothing of a request has been read from it; whether it has it."""
+        if self._pass_on is None:
+            return False
         parser = connection.parser
         between = (
             parser.their_state is h11.IDLE and not parser.trailing_data[0] and not len(connection.buffer)
         )
-        return between and self._pass_on is not None and self._pass_on(connection.sock, proven)
+        return between and self._pass_on(connection.sock, proven)
 
     def _make_room(self) -> bool:
         """Close the connection that will be missed least; False where none can be spared.
