Bring in door, book and succession only where an operator's address is told

Change: net/daily.py puts them together and is imported by Program only with an operator's address; __main__ keeps the rest.

--- a/heronstall/__main__.py
+++ b/heronstall/__main__.py
@@ -9,28 +9,29 @@
 import socket
 import sys
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from heronstall import events
-from heronstall.config import Address, Config, ConfigError, fixed_changes, load, reload
+from heronstall.config import Config, ConfigError, fixed_changes, load, reload
 from heronstall.events import say
 from heronstall.net.backend import HttpBackend, Pool
-from heronstall.net.book import Book
 from heronstall.net.dispatcher import Dispatcher
-from heronstall.net.door import CALLERS, Door
 from heronstall.net.frontend import Frontend
-from heronstall.net.leaving import Leaving, Stage
+from heronstall.net.leaving import Leaving
 from heronstall.net.loop import READ, Coroutine, Loop, clock
-from heronstall.net.operations import Operations
 from heronstall.net.server_table import ServerTable
-from heronstall.net.succession import Claim, Share, Succession, claim
 from heronstall.operator import Operator, OperatorError, read, start_logging
 from heronstall.ops.bans import Bans
 
+if TYPE_CHECKING:
+    from heronstall.net.daily import Daily
+
 RESERVED = (
     40  # descriptors for the standard streams, epoll, the listener, the watch and what closes meanwhile
 )
+FOR_DOOR = 16  # descriptors for callers at the operators' door
 # How long the list last held must wait for news before it serves alone: discovery's agent answers in
 # milliseconds where it can. Guards a mass restart, at which discovery turns most away, against an idle fleet.
 FIRST_LIST = 300_000
@@ -44,12 +45,15 @@
     def __init__(self, config: Config, loop: Loop, folder: Path | None = None) -> None:
         offset = time.time_ns() // 1000 - clock()
         born = loop.now
-        self.config, self.loop, self.dispatcher = config, loop, Dispatcher(config, loop)
-        self.leaving = Leaving(loop)
-        bans = Bans()
-        self.book = Book(loop, offset, bans, self.leaving)
-        half = self._half(False)
-        self.pool = pool = Pool(loop, config, half)
+        self.config, self.dispatcher = config, Dispatcher(config, loop)
+        self.leaving, bans = Leaving(loop), Bans()
+        self.daily: Daily | None = None
+        if config.operator is not None:
+            from heronstall.net.daily import Daily  # only here: what is not imported costs a start nothing
+
+            self.daily = Daily(config, loop, offset, bans, self.leaving, folder)
+        half = self._half()
+        pool = Pool(loop, config, half)
         self.table = table = ServerTable(config, loop, offset, self.dispatcher.post, bans)
         self.dispatcher.table = table
         table.moved = pool.forget
@@ -58,83 +62,27 @@
         def settled() -> bool:
             return table.heard or loop.now - born > FIRST_LIST
 
+        def ready() -> bool:
+            return table.any_serving() and settled()
+
         def taking() -> bool:
             return bool(table.listed()) and settled()
 
-        path = None if folder is None else folder / f"heronstall-{config.name}.sock".replace("/", "_")
-        claimed: Claim | None = None
-        if config.operator is not None and folder is not None and path is not None:
-            self.book.open(folder, config.name)
-            claimed = claim(path, config.name, config.listen)
-        table.start(claimed.table if claimed is not None else None)
-        self.frontend = Frontend(
-            config,
-            loop,
-            self.dispatcher,
-            lambda: table.any_serving() and settled(),
-            half,
-            self.leaving,
-            claimed.listener if claimed is not None else None,
-        )
-        self.succession: Succession | None = None
-        if config.operator is not None:
-            if path is not None:
-                self._succeed(path, claimed, taking)
-            self._operate(config.operator, taking)
+        table.start(self.daily.table if self.daily is not None else None)
+        listener = self.daily.listener if self.daily is not None else None
+        self.frontend = Frontend(config, loop, self.dispatcher, ready, half, self.leaving, listener)
+        if self.daily is not None and config.operator is not None:
+            self.daily.begin(config.operator, self.dispatcher, table, self.frontend, pool, taking, self._half)
 
-    def _operate(self, address: Address, taking: Callable[[], bool]) -> None:
-        def begun() -> bool:
-            # Guards against a yes that has the process before stopped while it knows of no heir yet.
-            return taking() if self.succession is None else self.succession.begun
-
-        operations = Operations(self.dispatcher, self.table, self.leaving, begun)
-        operations.changed = self.book.changed
-        try:
-            self.door = Door(self.loop, address, operations)
-        except OSError as error:
-            raise ConfigError(f"operator: cannot listen on {address[0]}:{address[1]}: {error}") from None
-
-    def _succeed(self, path: Path, claimed: Claim | None, taking: Callable[[], bool]) -> None:
-        """Be heir of the process before, if there is one, and ready for the one that comes after."""
-        self.book.follow(self.table)
-        config, listener = self.config, self.frontend.listener
-        self.succession = succession = Succession(
-            self.loop, path, config.name, config.listen, listener, taking, self.table.whole
-        )
-        succession.adopt, succession.know = self.frontend.adopt, self.frontend.know
-        succession.shared, succession.orphaned = self._share, self.frontend.take_back
-        succession.heired = self._hand_over
-        if claimed is not None:
-            succession.inherit(claimed.channel)
-        succession.begin()
-
-    def _half(self, both: bool) -> int:
+    def _half(self, processes: int = 1) -> int:
         """Descriptors for clients, and as many for servers: a session holds one on either side."""
-        kept = RESERVED + (CALLERS if self.config.operator else 0)
-        return max(1, (self.config.sockets // (1 + both) - kept) // 2)
-
-    def _share(self, share: Share) -> None:
-        """Whether two processes have the dispatcher's room together.
-
-        Each has half of it, until one leaves: then each client's connection is with one of the two, and what
-        is left in the other are a few.
-        """
-        half = self._half(share is not Share.ALONE)
-        self.pool.limit(half)
-        clients = self._half(False) * 7 // 8 if share is Share.AFTER else half
-        self.frontend.share(clients, share is not Share.ALONE)
+        kept = RESERVED + (FOR_DOOR if self.config.operator is not None else 0)
+        return max(1, (self.config.sockets // processes - kept) // 2)
 
     def _leave(self) -> None:
         self.leaving.leave()
-        self._hand_over()
-
-    def _hand_over(self) -> None:
-        """Leave clients to the heir, if there is one and a signal has come, whichever came first."""
-        leaving = self.leaving.stage is Stage.LEAVING
-        if leaving and self.succession is not None and self.succession.heir:
-            self.succession.leave(self.frontend.ids())
-            self.pool.rest()
-            self.frontend.hand_over(self.succession.pass_on)
+        if self.daily is not None:
+            self.daily.hand_over()
 
     def signals(self, waker: socket.socket) -> Coroutine[None]:
         """Carry out the signals whose numbers come in at the waker."""
--- /dev/null
+++ b/heronstall/net/daily.py
@@ -0,0 +1,107 @@
+"""What an operator's address brings: the door, the book and the succession, put together.
+
+Imported only where such an address is told. Guards starts on all other days: the program is read and compiled
+anew at each of them, and after a mass kill they are what clients wait for.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from heronstall.config import Address, Config, ConfigError
+from heronstall.net.backend import Pool
+from heronstall.net.book import Book
+from heronstall.net.dispatcher import Dispatcher
+from heronstall.net.door import Door
+from heronstall.net.frontend import Frontend
+from heronstall.net.leaving import Leaving, Stage
+from heronstall.net.loop import Loop
+from heronstall.net.operations import Operations
+from heronstall.net.server_table import ServerTable
+from heronstall.net.succession import Share, Succession, claim
+from heronstall.ops.bans import Bans
+
+
+class Daily:
+    """Daily operation of one process. Made before anything is sent, begun once everything else stands."""
+
+    def __init__(
+        self, config: Config, loop: Loop, offset: int, bans: Bans, leaving: Leaving, folder: Path | None
+    ) -> None:
+        self._config, self._loop, self._leaving = config, loop, leaving
+        self._book = Book(loop, offset, bans, leaving)
+        self._path: Path | None = None
+        self._claimed = None
+        self._succession: Succession | None = None
+        if folder is not None:
+            self._book.open(folder, config.name)
+            self._path = folder / f"heronstall-{config.name}.sock".replace("/", "_")
+            self._claimed = claim(self._path, config.name, config.listen)
+        # What the process before has handed over, if one runs.
+        self.listener = self._claimed.listener if self._claimed else None
+        self.table: Any = self._claimed.table if self._claimed else None
+        self.door: Door
+
+    def begin(
+        self,
+        address: Address,
+        dispatcher: Dispatcher,
+        table: ServerTable,
+        frontend: Frontend,
+        pool: Pool,
+        taking: Callable[[], bool],
+        half: Callable[[int], int],
+    ) -> None:
+        """Open the door, be heir of the process before, and be ready for the one that comes after.
+
+        `half`: descriptors for clients, and as many for servers, where so many processes share them. Raises
+        ConfigError for an address of no use.
+        """
+        self._frontend, self._pool, self._half = frontend, pool, half
+        if self._path is not None:
+            self._book.follow(table)
+            self._succeed(self._path, table, taking)
+
+        def begun() -> bool:
+            # Guards against a yes that has the process before stopped while it knows of no heir yet.
+            return taking() if self._succession is None else self._succession.begun
+
+        operations = Operations(dispatcher, table, self._leaving, begun)
+        operations.changed = self._book.changed
+        try:
+            self.door = Door(self._loop, address, operations)
+        except OSError as error:
+            raise ConfigError(f"operator: cannot listen on {address[0]}:{address[1]}: {error}") from None
+
+    def _succeed(self, path: Path, table: ServerTable, taking: Callable[[], bool]) -> None:
+        config, frontend = self._config, self._frontend
+        self._succession = succession = Succession(
+            self._loop, path, config.name, config.listen, frontend.listener, taking, table.whole
+        )
+        succession.adopt, succession.know = frontend.adopt, frontend.know
+        succession.shared, succession.orphaned = self._share, frontend.take_back
+        succession.heired = self.hand_over
+        if self._claimed is not None:
+            succession.inherit(self._claimed.channel)
+        succession.begin()
+
+    def _share(self, share: Share) -> None:
+        """Whether two processes have the dispatcher's room together.
+
+        Each has half of it, until one leaves: then each client's connection is with one of the two, and what
+        is left in the other are a few.
+        """
+        half = self._half(1 if share is Share.ALONE else 2)
+        self._pool.limit(half)
+        clients = self._half(1) * 7 // 8 if share is Share.AFTER else half
+        self._frontend.share(clients, share is not Share.ALONE)
+
+    def hand_over(self) -> None:
+        """Leave clients to the heir, if there is one and a signal has come, whichever came first."""
+        leaving = self._leaving.stage is Stage.LEAVING
+        if leaving and self._succession is not None and self._succession.heir:
+            self._succession.leave(self._frontend.ids())
+            self._pool.rest()
+            self._frontend.hand_over(self._succession.pass_on)
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -86,7 +86,7 @@
 
     def test_nothing_is_opened_where_no_address_is_told_and_a_wrong_one_is_named(self) -> None:
         program = Dispatching(configuration(raw_config()), Loop())
-        self.assertFalse(hasattr(program, "door"))
+        self.assertIsNone(program.daily)
         with self.assertRaisesRegex(ConfigError, "^operator: "):
             configuration(raw_config(operator="nowhere"))
         with self.assertRaisesRegex(ConfigError, "^operator: cannot listen on 192.0.2.1:9: "):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -142,7 +142,8 @@
         self.front: Frontend = self.program.frontend
         self.address = self.front._listener.getsockname()
         if self.operated:
-            self.door = self.program.door._listener.getsockname()
+            assert self.program.daily is not None
+            self.door = self.program.daily.door._listener.getsockname()
         self.watch = self.accept(self.discovery)
 
     def table(
