--- a/heronstall/net/frontend.py
+++ b/heronstall/net/frontend.py
@@ -187,12 +187,13 @@
         self._hand_again()
         self._ended(None)
 
-    def take_back(self) -> None:
-        """The heir has gone: go on as without one."""
+    def take_back(self, alone: bool) -> None:
+        """The heir has gone: go on as without one, and leave new clients to whoever else listens, if any."""
         if self._pass_on is not None:
             self._pass_on = None
-            self._deaf = False
-            self._accepting = self._loop.spawn(self._accept(), "accept")
+            if alone:
+                self._deaf = False
+                self._accepting = self._loop.spawn(self._accept(), "accept")
 
     def _hand_again(self) -> None:
         """Hand over what idles, until all of it is: the way to the heir takes a few hundred at a time."""
--- a/heronstall/net/succession.py
+++ b/heronstall/net/succession.py
@@ -123,7 +123,7 @@
         self.begun = False  # this process has told the one before that it takes clients
         self.heired: Callable[[], None] = lambda: None  # an heir takes clients from now on
         self.shared: Callable[[Share], None] = lambda share: None  # with whom this process shares the room
-        self.orphaned: Callable[[], None] = lambda: None  # the heir has gone again
+        self.orphaned: Callable[[bool], None] = lambda alone: None  # the heir has gone; whether all have
 
     # ------------------------------------------------------------------ heir
 
@@ -232,9 +232,10 @@
                 self._heir = None
                 self.shared(Share.ALONE if self._before is None else Share.BESIDE)
                 say(log, events.HEIR_LOST)
-                if not self._answered():  # guards whoever has come after the heir and stands there by now
+                alone = not self._answered()
+                if alone:  # guards whoever has come after the heir and stands there by now
                     self._publish()
-                self.orphaned()
+                self.orphaned(alone)
 
     def _answered(self) -> bool:
         """Whether some process answers where an heir would ask."""
