Write down a drain heard from the other process, and hand over what was refused before

Book._take wrote its file for newer bans alone: a drain called at the old process's door after the new one had started was known to the new one and lost with the next replacement. _hand_again, added on top of close_up's one try, stopped as soon as nothing idled, so that what the way refused after an answer later on idled until the kill. _heirs waited for readability after any error and would have spun without descriptors. Change: any newer word is written; the hand-over goes on every 10 ms to the end, which makes the extra try in _close_up needless; accept errors at the heirs' socket pause and are logged, as at the clients'.

--- a/heronstall/net/book.py
+++ b/heronstall/net/book.py
@@ -76,13 +76,15 @@
             self._table.banned(changed)
         # Only a living process's drain is one of this dispatcher's: a start after a stop is a fresh one.
         word = state.drain
-        if word is not None and state.alive and (self._drain is None or word > self._drain):
+        newer = word is not None and state.alive and (self._drain is None or word > self._drain)
+        if word is not None and newer:
             self._drain = word
             if word.out:
                 self._leaving.drain()
             else:
                 self._leaving.rejoin()
-        if changed and self._table is not None:
+        # Whoever said it may be gone when the next process comes; that one asks who is left.
+        if (changed or newer) and self._table is not None:
             self._write()
 
     def _write(self) -> None:
--- a/heronstall/net/frontend.py
+++ b/heronstall/net/frontend.py
@@ -36,7 +36,7 @@
 # program does not need for itself.
 OWN_MEMORY, BODIES_PART = 20 * 1024 * 1024, 3
 CANDIDATES = 8  # connections looked at when one is to be given up
-HAND_AGAIN = 10_000
+HAND_AGAIN = 10_000  # between looks at what an heir can be handed
 IDS_KEPT, IDS_TOLD = 8192, 1024  # of the latest requests; those that an heir is told
 SCRAP = bytearray(64 * 1024)  # what is read only to be thrown away
 DEAF_TIME = 750_000  # after closing has begun, no new connection is taken any more
@@ -196,17 +196,17 @@
                 self._accepting = self._loop.spawn(self._accept(), "accept")
 
     def _hand_again(self) -> None:
-        """Hand over what idles, until all of it is: the way to the heir takes a few hundred at a time."""
-        if self._pass_on is not None:
-            self._hand_idle()
-            if self._idle or self._unproven:
-                self._loop.at(self._loop.now + HAND_AGAIN, self._hand_again)
+        """Hand over what idles, again and again: the way to the heir takes a few hundred at a time.
 
-    def _hand_idle(self) -> None:
+        To the end, for what is refused on the way there after an answer only idles from then on.
+        """
+        if self._pass_on is None:
+            return
         for row in (self._idle, self._unproven):
             for connection in list(row):
                 if self._hand(connection, row is self._idle):
                     self._clients[connection].kill()
+        self._loop.at(self._loop.now + HAND_AGAIN, self._hand_again)
 
     def _hand(self, connection: Connection, proven: bool) -> bool:
         """Hand a connection to the heir if nothing of a request has been read from it; whether it has it."""
@@ -247,7 +247,6 @@
     def _close_up(self) -> None:
         self._closing = True
         self._deaf_at = self._loop.now + DEAF_TIME
-        self._hand_idle()
         for connection in [*self._idle, *self._unproven]:
             self._close_if_quiet(connection)
         self._accepting.step(0)
--- a/heronstall/net/succession.py
+++ b/heronstall/net/succession.py
@@ -23,7 +23,7 @@
 from heronstall import events
 from heronstall.config import Address
 from heronstall.events import say
-from heronstall.net.loop import READ, Coroutine, Loop, Task
+from heronstall.net.loop import READ, Coroutine, Loop, Task, sleep
 
 VERSION = 1
 PACKET = 200 * 1024  # bytes of a message at the most; a server list beyond it stays behind
@@ -199,8 +199,11 @@
         while True:
             try:
                 channel, _ = own.accept()
-            except OSError:
+            except BlockingIOError:
                 yield own.fileno(), READ, None
+            except OSError as error:  # guards against spinning when descriptors run out: an heir can wait
+                say(log, events.ACCEPT_FAILED, reason=str(error))
+                yield from sleep(self._loop.now + LOOK)
             else:
                 channel.setblocking(False)
                 self._loop.spawn(self._meet(channel), "an heir")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -322,6 +322,22 @@
         taken.sock.close()
         self.spin(lambda: stopped.called)
 
+    def test_what_the_way_to_an_heir_refuses_is_handed_over_later(self) -> None:
+        self.front._finished = mock.Mock()
+        tries: list[bool] = []
+
+        def pass_on(_: socket.socket, proven: bool) -> bool:
+            tries.append(proven)
+            return len(tries) > 1
+
+        client = self.ask()
+        server = self.dispatched()
+        self.front.hand_over(pass_on)
+        server.sock.sendall(STREAM)
+        server.say('{"id":"id-1","state":"done","result":"ok"}')
+        self.assertEqual(self.status(client), 200)
+        self.spin(lambda: tries == [True, True])
+
     def test_who_comes_late_in_a_drain_has_an_answer_before_the_kill(self) -> None:
         with (
             mock.patch("heronstall.net.frontend.LATE", 0),
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -210,7 +210,7 @@
         self.whole(idle, "id-5")
 
     def test_a_drain_comes_along_and_is_taken_back_at_either_door(self) -> None:
-        _, door = self.start()
+        first, door = self.start()
         self.assertEqual(self.call(door, "LAMEDUCK"), "YES draining\n")
         _, later = self.start()
         self.assertEqual(self.call(later, "PING"), "YES drained\n")
@@ -218,6 +218,10 @@
         self.spin(lambda: self.call(door, "PING") == "YES serving\n")
         self.assertEqual(self.call(door, "LAMEDUCK"), "YES draining\n")
         self.spin(lambda: self.call(later, "PING") == "YES drained\n")
+        first.send_signal(signal.SIGTERM)  # whoever comes after both learns it from the second
+        self.assertEqual(first.wait(PATIENCE), 0)
+        _, last = self.start()
+        self.assertEqual(self.call(last, "PING"), "YES drained\n")
 
     def test_it_goes_on_when_either_dies_and_with_a_folder_full_of_nonsense(self) -> None:
         stem = "heronstall-n-"
