Say once what daily operation said twice: the door's descriptors, the others' files, a client taken in

Change: each stands once. Behaviour as before. The accept loops of door and frontend stay two: they share the calls, but the frontend's ends, pauses and shares out its turn, and the door always takes whoever comes.

--- a/heronstall/__main__.py
+++ b/heronstall/__main__.py
@@ -31,7 +31,6 @@
 RESERVED = (
     40  # descriptors for the standard streams, epoll, the listener, the watch and what closes meanwhile
 )
-FOR_DOOR = 16  # descriptors for callers at the operators' door
 # How long the list last held must wait for news before it serves alone: discovery's agent answers in
 # milliseconds where it can. Guards a mass restart, at which discovery turns most away, against an idle fleet.
 FIRST_LIST = 300_000
@@ -51,7 +50,7 @@
         if config.operator is not None:
             from heronstall.net.daily import Daily  # only here: what is not imported costs a start nothing
 
-            self.daily = Daily(config, loop, offset, bans, self.leaving, folder)
+            self.daily = Daily(config, config.operator, loop, offset, bans, self.leaving, folder)
         half = self._half()
         pool = Pool(loop, config, half)
         self.table = table = ServerTable(config, loop, offset, self.dispatcher.post, bans)
@@ -71,12 +70,12 @@
         table.start(self.daily.table if self.daily is not None else None)
         listener = self.daily.listener if self.daily is not None else None
         self.frontend = Frontend(config, loop, self.dispatcher, ready, half, self.leaving, listener)
-        if self.daily is not None and config.operator is not None:
-            self.daily.begin(config.operator, self.dispatcher, table, self.frontend, pool, taking, self._half)
+        if self.daily is not None:
+            self.daily.begin(self.dispatcher, table, self.frontend, pool, taking, self._half)
 
     def _half(self, processes: int = 1) -> int:
         """Descriptors for clients, and as many for servers: a session holds one on either side."""
-        kept = RESERVED + (FOR_DOOR if self.config.operator is not None else 0)
+        kept = RESERVED + (self.daily.descriptors if self.daily is not None else 0)
         return max(1, (self.config.sockets // processes - kept) // 2)
 
     def _leave(self) -> None:
--- a/heronstall/config.py
+++ b/heronstall/config.py
@@ -236,8 +236,8 @@
 
     `known` and `seed` are not among them: they are of use at a start only and are new in each file.
     """
-    keys = {"name": "name", "listen": "listen", "sockets": "limits.sockets", "memory": "limits.memory_mb"}
-    keys["operator"] = "operator"
+    keys = {key: key for key in ("name", "listen", "operator")}
+    keys |= {"sockets": "limits.sockets", "memory": "limits.memory_mb"}
     passed = ("discovery", "known", "seed", "told")
     changed = [f.name for f in fields(Config) if getattr(old, f.name) != getattr(new, f.name)]
     return sorted({keys.get(name, "settings") for name in changed if name not in passed})
--- a/heronstall/net/backend.py
+++ b/heronstall/net/backend.py
@@ -77,8 +77,10 @@
 
     def rest(self) -> None:
         """Close all that idle: this process leaves, and another one needs the room."""
-        while self._close_idlest():
-            pass
+        for row in self._idle.values():
+            for connection in row:
+                self.close(connection)
+        self._idle.clear()
 
     def take(self, server: BackendServer, until: int) -> Coroutine[Connection]:
         """A connection to write a first byte on, now. Raises Ended if there is none."""
--- a/heronstall/net/daily.py
+++ b/heronstall/net/daily.py
@@ -14,7 +14,7 @@
 from heronstall.net.backend import Pool
 from heronstall.net.book import Book
 from heronstall.net.dispatcher import Dispatcher
-from heronstall.net.door import Door
+from heronstall.net.door import CALLERS, Door
 from heronstall.net.frontend import Frontend
 from heronstall.net.leaving import Leaving, Stage
 from heronstall.net.loop import Loop
@@ -27,10 +27,19 @@
 class Daily:
     """Daily operation of one process. Made before anything is sent, begun once everything else stands."""
 
+    descriptors = CALLERS  # that it needs beside those of clients and servers
+
     def __init__(
-        self, config: Config, loop: Loop, offset: int, bans: Bans, leaving: Leaving, folder: Path | None
+        self,
+        config: Config,
+        address: Address,
+        loop: Loop,
+        offset: int,
+        bans: Bans,
+        leaving: Leaving,
+        folder: Path | None,
     ) -> None:
-        self._config, self._loop, self._leaving = config, loop, leaving
+        self._config, self._address, self._loop, self._leaving = config, address, loop, leaving
         self._book = Book(loop, offset, bans, leaving)
         self._path: Path | None = None
         self._claimed = None
@@ -46,7 +55,6 @@
 
     def begin(
         self,
-        address: Address,
         dispatcher: Dispatcher,
         table: ServerTable,
         frontend: Frontend,
@@ -71,9 +79,10 @@
         operations = Operations(dispatcher, table, self._leaving, begun)
         operations.changed = self._book.changed
         try:
-            self.door = Door(self._loop, address, operations)
+            self.door = Door(self._loop, self._address, operations)
         except OSError as error:
-            raise ConfigError(f"operator: cannot listen on {address[0]}:{address[1]}: {error}") from None
+            host, port = self._address
+            raise ConfigError(f"operator: cannot listen on {host}:{port}: {error}") from None
 
     def _succeed(self, path: Path, table: ServerTable, taking: Callable[[], bool]) -> None:
         config, frontend = self._config, self._frontend
--- a/heronstall/net/door.py
+++ b/heronstall/net/door.py
@@ -12,7 +12,7 @@
 from heronstall.net.loop import READ, Coroutine, Loop, Task, sleep
 from heronstall.net.operations import Operations, Reply
 
-CALLERS = 16  # at a time (`FOR_DOOR`); the one longest without a whole line makes room for a new one
+CALLERS = 16  # at a time; the one longest without a whole line makes room for a new one
 BACKLOG = 256  # a crowd that connects at once must not keep a call from coming up
 LINE = 256  # bytes of a call at the most
 CALL_TIME = 6_000_000  # for a call to come whole
--- a/heronstall/net/frontend.py
+++ b/heronstall/net/frontend.py
@@ -98,7 +98,6 @@
         self._idle: dict[Connection, None] = {}
         self._bodies: dict[Connection, int] = {}  # bytes held for each
         self._held = 0  # their sum
-        self._room = 0
         self.share(limit, False)
         self._ids: dict[bytes, None] = {}  # of the latest requests, so that none is taken for another
         self._closing = self._deaf = False
@@ -142,7 +141,7 @@
                 yield from sleep(self._loop.now + ACCEPT_PAUSE)
             else:
                 taken += 1
-                self._admit(sock)
+                self.adopt(sock)
         self._loop.close(self._listener)
         self._deaf = True
         self._ended(None)
@@ -153,7 +152,8 @@
         room = (self._config.memory - 2 * OWN_MEMORY) // 2 if both else self._config.memory - OWN_MEMORY
         self._room = max(2 * BODY_LIMIT, room // BODIES_PART)
 
-    def _admit(self, sock: socket.socket, proven: bool = False) -> None:
+    def adopt(self, sock: socket.socket, proven: bool = False) -> None:
+        """Serve a client's connection, new, or between requests and from the process before."""
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = Connection(self._loop, sock, h11.SERVER)
@@ -166,10 +166,6 @@
         """Where clients connect."""
         return self._listener
 
-    def adopt(self, sock: socket.socket, proven: bool) -> None:
-        """A client's connection, between requests, from the process before."""
-        self._admit(sock, proven)
-
     def know(self, ids: list[str]) -> None:
         """Ids of jobs that another process has had."""
         for name in ids:
--- a/heronstall/net/leaving.py
+++ b/heronstall/net/leaving.py
@@ -31,7 +31,7 @@
     def __init__(self, loop: Loop) -> None:
         self._loop = loop
         self.stage = Stage.SERVING
-        self._drained = False
+        self.drained = False  # what was said by hand last, whatever signal has come: an heir goes by it
         self.parting = False  # answers end their connections
         self.since = 0  # of the signal
         self._timers: list[Timer] = []
@@ -43,14 +43,9 @@
         """Whether new clients are to go elsewhere."""
         return self.stage is not Stage.SERVING
 
-    @property
-    def drained(self) -> bool:
-        """What was said by hand last, whatever signal has come: a process that takes over goes by it."""
-        return self._drained
-
     def drain(self) -> None:
         """A drain is asked for; on the way out already, nothing more comes of it here."""
-        self._drained = True
+        self.drained = True
         if self.stage is Stage.SERVING:
             self.stage = Stage.DRAINED
             self._in(PART_TIME, self._part)
@@ -58,7 +53,7 @@
 
     def rejoin(self) -> None:
         """A drain is taken back. A signal cannot be."""
-        self._drained = False
+        self.drained = False
         if self.stage is Stage.DRAINED:
             self._stop()
             self.stage, self.parting = Stage.SERVING, False
--- a/heronstall/net/succession.py
+++ b/heronstall/net/succession.py
@@ -279,7 +279,7 @@
 
     def leave(self, ids: list[str]) -> None:
         """Tell the heir that this process leaves, and the ids of the jobs that it had."""
-        for at in range(0, max(1, len(ids)), IDS_AT_ONCE):
-            if self._heir is not None:
+        if self._heir is not None:
+            for at in range(0, max(1, len(ids)), IDS_AT_ONCE):
                 with contextlib.suppress(OSError):
                     self._heir.send(_packet(ids=ids[at : at + IDS_AT_ONCE]))
--- a/heronstall/ops/handover.py
+++ b/heronstall/ops/handover.py
@@ -118,9 +118,7 @@
             return
         # Guards against a file that comes within the same tick of the file system's clock as the last look.
         self._changed, self._settled = changed, time.time_ns() - changed > TICK
-        for path in sorted(self._folder.glob(f"{self.stem}*{STATE}")):
-            if path.name.startswith(self._mine.name):
-                continue
+        for path in self._others():
             try:
                 about = path.stat()
                 mark = (about.st_ino, about.st_mtime_ns, about.st_size)
@@ -139,12 +137,17 @@
 
     def sweep(self) -> None:
         """Remove what dead processes have left. To be called once their states are read and written anew."""
-        for path in self._folder.glob(f"{self.stem}*{STATE}"):
-            if not path.name.startswith(self._mine.name) and not self._alive(path):
+        for path in self._others():
+            if not self._alive(path):
                 for end in (STATE, LOCK):
                     with contextlib.suppress(OSError):
                         path.with_suffix(end).unlink()
 
+    def _others(self) -> list[Path]:
+        """The other processes' state files, in a fixed order."""
+        found = sorted(self._folder.glob(f"{self.stem}*{STATE}"))
+        return [path for path in found if not path.name.startswith(self._mine.name)]
+
     def _alive(self, path: Path) -> bool:
         """Whether the process that wrote a file still holds its lock."""
         try:
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -149,12 +149,16 @@
         self.ask(client, name)
         self.serve(client, name, self.dispatched(name))
 
-    def test_clients_change_over_without_a_close_and_bans_and_drain_come_along(self) -> None:
-        first, door = self.start()
+    def two_clients(self) -> tuple[Peer, Peer, Peer]:
+        """One that idles, one whose job id-2 is under way, and that job's end at the server."""
         idle, busy = self.client(), self.client()
         self.whole(idle, "id-1")
         self.ask(busy, "id-2")
-        end = self.dispatched("id-2")
+        return idle, busy, self.dispatched("id-2")
+
+    def test_clients_change_over_without_a_close_and_bans_and_drain_come_along(self) -> None:
+        first, door = self.start()
+        idle, busy, end = self.two_clients()
         self.assertEqual(self.call(door, "DETACH s-0"), "YES detached\n")
         second, later = self.start()
         self.assertEqual(self.figure(later, "ejected"), 1)
@@ -187,10 +191,7 @@
 
     def test_replacements_may_follow_closely(self) -> None:
         first, _ = self.start()
-        idle, busy = self.client(), self.client()
-        self.whole(idle, "id-1")
-        self.ask(busy, "id-2")
-        end = self.dispatched("id-2")
+        idle, busy, end = self.two_clients()
         second, _ = self.start()
         first.send_signal(signal.SIGTERM)
         third, _ = self.start()
