Tell at the operators' door what a change of the program is judged by (DETAIL)

Change: DETAIL at the door, where figures.detail in the operator's file asks for it and an operator's address is told. An observer of the Dispatcher (the one place for it) counts jobs by class and end, in time or late, records latencies in an HdrHistogram, and a timer records how late the loop's own calls come; attempts, connections, probes, CPU, memory and the release's name come beside. Off: the door says so, nothing is imported, one integer is counted for each connect.

--- a/deploy/operator.cue
+++ b/deploy/operator.cue
@@ -7,3 +7,4 @@
 	level:  "info"
 }
 trace: dir: ""
+figures: detail: false
--- a/heronstall/__main__.py
+++ b/heronstall/__main__.py
@@ -27,6 +27,7 @@
 
 if TYPE_CHECKING:
     from heronstall.net.daily import Daily
+    from heronstall.ops.detail import Detail
 
 RESERVED = (
     40  # descriptors for the standard streams, epoll, the listener, the watch and what closes meanwhile
@@ -34,6 +35,7 @@
 # How long the list last held must wait for news before it serves alone: discovery's agent answers in
 # milliseconds where it can. Guards a mass restart, at which discovery turns most away, against an idle fleet.
 FIRST_LIST = 300_000
+LOOK = 100_000  # between looks at how late the loop's own calls come
 ENDS = (signal.SIGTERM, signal.SIGINT)
 log = logging.getLogger("heronstall")
 
@@ -45,6 +47,7 @@
         offset = time.time_ns() // 1000 - clock()
         born = loop.now
         self.config, self.dispatcher = config, Dispatcher(config, loop)
+        self._loop, self._offset = loop, offset
         self.leaving, bans = Leaving(loop), Bans()
         self.daily: Daily | None = None
         if config.operator is not None:
@@ -67,6 +70,7 @@
         def taking() -> bool:
             return bool(table.listed()) and settled()
 
+        self._pool = pool
         table.start(self.daily.table if self.daily is not None else None)
         listener = self.daily.listener if self.daily is not None else None
         self.frontend = Frontend(config, loop, self.dispatcher, ready, half, self.leaving, listener)
@@ -78,6 +82,25 @@
         kept = RESERVED + (self.daily.descriptors if self.daily is not None else 0)
         return max(1, (self.config.sockets // processes - kept) // 2)
 
+    def detail(self) -> Detail | None:
+        """Have the door tell what a change is judged by; None where nobody would hear it. Raises ImportError."""
+        if self.daily is None:
+            return None
+        from heronstall.ops.detail import Detail
+
+        config, loop, figures = self.config, self._loop, self.dispatcher.figures
+        detail = Detail(list(config.classes), config.settings.classes, loop.now + self._offset, os.environ)
+        detail.attempts, detail.connects = lambda: figures.forwards, lambda: self._pool.connects
+        self.daily.operations.detail = detail.rows
+
+        def look(due: int) -> None:
+            now = clock()
+            detail.delayed(max(0, now - due))
+            loop.at(now + LOOK, lambda: look(now + LOOK))
+
+        look(clock())
+        return detail
+
     def _leave(self) -> None:
         self.leaving.leave()
         if self.daily is not None:
@@ -153,6 +176,19 @@
             return 2
         recorder = Recorder(operator, config.name, config.told, loop.now)
         program.dispatcher.observer = recorder
+    if operator.detail:
+        try:
+            detail = program.detail()
+            if detail is not None and recorder is not None:
+                from heronstall.ops.detail import Fan
+
+                program.dispatcher.observer = Fan(recorder, detail)
+            elif detail is not None:
+                program.dispatcher.observer = detail
+        except ImportError as error:
+            reason = f"figures.detail: these figures want the extra `figures`: {error}"
+            say(log, events.SETTINGS_WRONG, reason=reason)
+            return 2
     loop.spawn(program.signals(waker), "signals")
     gc.freeze()
     gc.set_threshold(50_000, 20, 100)
--- a/heronstall/net/backend.py
+++ b/heronstall/net/backend.py
@@ -69,6 +69,7 @@
         self._idle: dict[int, list[Connection]] = {}
         self._open: dict[Connection, tuple[Address, int]] = {}
         self._connecting = 0
+        self.connects = 0  # connections asked for since the start
         loop.at(loop.now + SWEEP, self._sweep)
 
     def limit(self, limit: int) -> None:
@@ -111,6 +112,7 @@
             raise Ended(Ending.WITHDRAWN)
         origin = (server.endpoint, server.boot_ms)
         self._connecting += 1
+        self.connects += 1
         try:
             connection = yield from connect(
                 self._loop, server.endpoint, min(until, self._loop.now + self._connect_time)
--- a/heronstall/net/daily.py
+++ b/heronstall/net/daily.py
@@ -52,6 +52,7 @@
         self.listener = self._claimed.listener if self._claimed else None
         self.table: Any = self._claimed.table if self._claimed else None
         self.door: Door
+        self.operations: Operations
 
     def begin(
         self,
@@ -76,7 +77,7 @@
             # Guards against a yes that has the process before stopped while it knows of no heir yet.
             return taking() if self._succession is None else self._succession.begun
 
-        operations = Operations(dispatcher, table, self._leaving, begun)
+        self.operations = operations = Operations(dispatcher, table, self._leaving, begun)
         operations.changed = self._book.changed
         try:
             self.door = Door(self._loop, self._address, operations)
--- a/heronstall/net/door.py
+++ b/heronstall/net/door.py
@@ -19,7 +19,7 @@
 REPLY_TIME = 2_000_000  # for a caller to read its reply
 ACCEPT_PAUSE = 20_000
 END = "END\n"
-QUIET = (b"PING", b"INFO")  # machines ask these every second: not worth a log line
+QUIET = (b"PING", b"INFO", b"DETAIL")  # machines ask these every second: not worth a log line
 log = logging.getLogger("heronstall.door")
 
 
@@ -116,11 +116,16 @@
             case ["INFO"]:
                 rows = "".join(f"svc.{name}={figure}\n" for name, figure in self._operations.figures())
                 return rows + END
+            case ["DETAIL"]:
+                detail = self._operations.detail
+                if detail is None:
+                    return "NO figures.detail is off in the operator's file\n"
+                return "".join(f"svc.{name}={figure}\n" for name, figure in detail()) + END
             case [word] if word in self._calls:
                 return _said(self._calls[word]())
             case [word, uid] if word in self._calls_on:
                 return _said(self._calls_on[word](uid))
-            case [word, *_] if word == "INFO" or word in self._calls or word in self._calls_on:
+            case [word, *_] if word in ("INFO", "DETAIL") or word in self._calls or word in self._calls_on:
                 return f"NO {word} wants {'one id' if word in self._calls_on else 'nothing else'}\n"
         return "NO such call\n"
 
--- a/heronstall/operator.py
+++ b/heronstall/operator.py
@@ -34,6 +34,7 @@
     trace_dir: str = ""  # no trace
     trace_rotate_s: float = 3600.0
     trace_keep: int = 24
+    detail: bool = False  # figures that a change is judged by, at the door
 
 
 def read(environ: Mapping[str, str]) -> Operator:
@@ -71,14 +72,17 @@
 
 
 def _operator(name: str, record: Any) -> Operator:
-    log, trace = (_record(name, record, key) for key in ("log", "trace"))
+    log, trace, figures = (_record(name, record, key) for key in ("log", "trace", "figures"))
     read = Operator(
         str(log.get("format", "plain")),
         str(log.get("level", "info")),
         str(trace.get("dir", "")),
         trace.get("rotate_s", 3600.0),
         trace.get("keep", 24),
+        figures.get("detail", False),
     )
+    if not isinstance(read.detail, bool):
+        raise OperatorError(f"{name}: figures.detail: {read.detail!r} where true or false is wanted")
     for key, value, known in (
         ("log.format", read.log_format, FORMATS),
         ("log.level", read.log_level, LEVELS),
--- a/heronstall/records/schemas/operator.cue
+++ b/heronstall/records/schemas/operator.cue
@@ -4,6 +4,7 @@
 #Operator: {
 	log:   #Log
 	trace: #TraceFiles
+	figures: #Figures
 }
 
 #Log: {
@@ -17,3 +18,8 @@
 	rotate_s: *3600 | number & >=1       // seconds that one file covers
 	keep:     *24 | int & >=1            // files kept of one dispatcher
 }
+
+// What a change of the program is judged by, told at the door (DETAIL). docs/rollout.md
+#Figures: {
+	detail: *false | bool                // wants the extra `figures`
+}
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -7,11 +7,14 @@
 from typing import Any
 from unittest import mock
 
+from hdrh.histogram import HdrHistogram
+
 from heronstall.__main__ import Program as Dispatching
 from heronstall.config import ConfigError, configuration
 from heronstall.net.dispatcher import FATE
 from heronstall.net.door import CALLERS, LINE
 from heronstall.net.loop import Loop
+from heronstall.ops.detail import COUNTS
 from heronstall.ops.figures import Figures
 from tests.test_net import Peer, Story, raw_config
 
@@ -115,6 +118,27 @@
         with mock.patch.dict(FATE, {"gone": "succeeded"}), self.assertRaises(AssertionError):
             self.story()
 
+    def test_detail_is_off_until_asked_for_and_then_tells_what_clients_saw(self) -> None:
+        self.assertTrue(self.call("DETAIL").startswith("NO figures.detail is off"))
+        detail = self.program.detail()
+        assert detail is not None
+        self.program.dispatcher.observer = detail
+        self.story()
+        rows = dict(row[4:].split("=", 1) for row in self.call("DETAIL").splitlines()[:-1])
+        told = {name: [int(rows[f"{name}.{cls}"]) for cls in ("unsafe", "keyed")] for name in COUNTS}
+        self.assertEqual(
+            told,
+            {"taken": [3, 2], "intime": [2, 0], "served": [2, 0], "refused": [0, 1], "failed": [1, 0]}
+            | {"gone": [0, 1]},
+        )
+        self.assertEqual((rows["attempts"], rows["about.v"], rows["about.release"]), ("5", "1", "-"))
+        self.assertGreaterEqual(int(rows["connects"]), 1)
+        self.assertGreater(int(rows["memory_kb"]), 1000)
+        histogram = HdrHistogram.decode(rows["latency.unsafe"])
+        self.assertEqual(histogram.get_total_count(), 2)
+        self.assertGreater(HdrHistogram.decode(rows["loop"]).get_total_count(), 0)
+        self.assertEqual(self.call("DETAIL all"), "NO DETAIL wants nothing else\n")
+
     def story(self) -> None:
         for n, state in enumerate(("done", "failed", "done", "leaves", "refused")):
             client = self.ask("unsafe" if n < 3 else "keyed", name=f"id-{n}")
