Carry a change through the fleet in stages: faults, keepers, the rollout's steps and judge

Nobody carried, compared or stopped a change; nothing stood between the lab's processes.

The same machine, judge and places run in virtual time over a model's evening (model/rollouts.py).

--- /dev/null
+++ b/benchmarks/rollouts.py
@@ -0,0 +1,276 @@
+"""Rollouts measured: the judge in virtual time, and whole rollouts of real processes on loopback.
+
+    python -m benchmarks.rollouts judge [--rollouts 500] [--evenings 16] [--each 40]
+    python -m benchmarks.rollouts fleet [--runs 10] [--keepers 3]
+
+`judge`: nothing changed (share stopped beside alpha); planted harm of 1, 2, 5 and 10% of worth and of
+latency (share stopped, at which stage, jobs harmed, beside changing all at once and beside a rule of
+thumb); troubles that are nobody's fault (share blamed, share that went back). `fleet`: a pair of revisions,
+a planted bad version and a harmless change of settings, carried through real dispatchers under keepers;
+jobs lost, times, memory.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import functools
+import os
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from collections import Counter
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+from heronstall.cli.common import read_scenario
+from heronstall.fleet.spec import SECOND, Scenario, Shape, Trouble
+from heronstall.model.rollouts import Evening, Outcome, Plant, Stage, evening
+from heronstall.records import loads
+from heronstall.rollout.judge import LOOKS, missed
+from heronstall.rollout.machine import Machine, Seen, Step
+from heronstall.rollout.plan import Plan, plan
+
+ROOT = Path(__file__).resolve().parent.parent
+SCENARIO = ROOT / "scenarios" / "rollout.cue"
+PLAN = 'package rollout\nname: "x"\nrelease: "/r"\nkeepers: k: "a:1"\njournal: "j"\naway: 2\nevery_s: 2\n'
+KEYS = ("took", "back", "served", "refused", "failed", "lost", "broken", "mb", "descriptors", "stages")
+LEVELS = (0.01, 0.02, 0.05, 0.10)
+TROUBLES: dict[str, tuple[Trouble, ...]] = {
+    "zone cut": (Trouble("zone-cut", 90 * SECOND, 15 * SECOND, zone="seoul-2"),),
+    "release": (
+        Trouble("release", 85 * SECOND, 8 * SECOND, 0.5, "daejeon-1", back=SECOND),
+        Trouble("release", 105 * SECOND, 8 * SECOND, 0.5, "seoul-2", back=SECOND),
+    ),
+    "surge": (),
+}
+SURGE = Shape("surge", 90 * SECOND, 30 * SECOND, 1.5, 2 * SECOND)
+
+
+class Thumb(Machine):
+    """The rule of thumb: at any look, new has missed more worth than old by more than is tolerable."""
+
+    def _watching(self, seen: Seen) -> list[Step]:
+        state = self.state
+        _, found = self._found(seen)
+        new, old = missed(found, state.changed), missed(found, state.old)
+        if new[1] and old[1] and new[0] - old[0] > self.plan.harm["worth"]:
+            return [("back", {"reason": "threshold", "by": "judge"})]
+        if seen.at - state.watch_at < self.plan.watch_of(state.stage):
+            return []
+        return [("good", {"stage": state.stage}), *self._next()]
+
+
+class Thumbed(Stage):
+    """A rollout judged by the rule of thumb."""
+
+    def begin(self) -> Machine:
+        """As ever, with the other machine."""
+        super().begin()
+        return Thumb(self.plan, self.records)
+
+
+@functools.lru_cache(2)
+def _evening(seed: int, kind: str) -> Evening:
+    scenario = read_scenario(SCENARIO)
+    if kind:
+        scenario = replace(scenario, troubles=TROUBLES[kind])
+        if kind == "surge":
+            scenario = replace(scenario, shapes=(SURGE,))
+    return evening(scenario, seed)
+
+
+def _plan(nth: int) -> Plan:
+    made = plan(loads(PLAN.replace('"x"', f'"x{nth}"'), "plan", ("rollout",))[1])
+    return replace(made, digest=f"{nth:x}-{made.digest}")
+
+
+def _some(row: tuple[int, str, list[tuple[str, Plant, int, bool]]]) -> list[tuple[str, bool, Outcome]]:
+    """All rollouts of one evening."""
+    seed, kind, rollouts = row
+    told = _evening(seed, kind)
+    made = []
+    for label, plant, nth, thumb in rollouts:
+        out = (Thumbed if thumb else Stage)(told, _plan(nth), plant, nth).play()
+        made.append((label, thumb, out._replace(records=[], digests={})))
+    return made
+
+
+def _all_at_once(seed: int, plant: Plant) -> int:
+    """Jobs harmed where every dispatcher is changed after the time before, and nobody stops it."""
+    made = _plan(0)
+    stages = ({"part": 1, "watch_s": 1},)
+    stage = Stage(_evening(seed, ""), replace(made, stages=stages, away=1000), plant, 0)
+    return stage.play().harmed + 0
+
+
+def judge(rollouts: int, evenings: int, each: int) -> None:
+    """The tables of `judge`."""
+    harms = [(f"worth {h:.0%}", Plant(fails=h)) for h in LEVELS]
+    harms += [(f"latency {h:.0%}", Plant(slower=h)) for h in LEVELS]
+    work: dict[tuple[int, str], list[tuple[str, Plant, int, bool]]] = {}
+    nth = 0
+
+    def put(kind: str, label: str, plant: Plant, count: int, thumb: bool) -> None:
+        nonlocal nth
+        for k in range(count):
+            nth += 1
+            work.setdefault((1 + k % evenings, kind), []).append((label, plant, nth, thumb))
+
+    put("", "nothing", Plant(), rollouts, False)
+    put("", "nothing", Plant(), rollouts // 5, True)
+    for label, plant in harms:
+        put("", label, plant, each, False)
+        put("", label, plant, each, True)
+    for kind in TROUBLES:
+        put(kind, kind, Plant(), each, False)
+        put(kind, kind, Plant(), each, True)
+    found: dict[tuple[str, bool], list[Outcome]] = {}
+    began = time.time()
+    with ProcessPoolExecutor(os.cpu_count()) as pool:
+        for some in pool.map(_some, [(seed, kind, rows) for (seed, kind), rows in work.items()]):
+            for label, thumb, outcome in some:
+                found.setdefault((label, thumb), []).append(outcome)
+    print(f"{sum(map(len, found.values()))} rollouts over {evenings} evenings in {time.time() - began:.0f} s")
+    print(f"24 dispatchers, three stages of 60 s, alpha {_plan(0).alpha}, {LOOKS} looks a watch")
+    for (label, thumb), rows in found.items():
+        ends = Counter(out.phase for out in rows)
+        by = Counter(out.by for out in rows if out.by)
+        stopped = [out for out in rows if out.phase in ("stopped", "going back")]
+        stages = dict(sorted(Counter(out.stage + 1 for out in stopped).items()))
+        harmed = statistics.median(out.harmed for out in rows)
+        took = statistics.median(out.seconds for out in rows)
+        told = f"{label:<14}{'thumb' if thumb else 'judge':<7}{len(rows):4d}"
+        told += f"  stopped {len(stopped) / len(rows):6.1%}  by {dict(by)}  at stage {stages}"
+        print(f"{told}  ends {dict(ends)}  jobs harmed {harmed:.0f}  seconds {took:.0f}", flush=True)
+    for label, plant in harms:
+        print(f"{label:<14}all at once, 240 s: jobs harmed {_all_at_once(1, plant)}")
+
+
+# ---------------------------------------------------------------------- loopback
+
+
+def _worktree(folder: Path, revision: str) -> Path:
+    """A checked-out tree of a revision."""
+    tree = folder / revision.replace("~", "-")
+    subprocess.run(
+        ["git", "-C", ROOT, "worktree", "add", "--detach", tree, revision], check=True, capture_output=True
+    )
+    return tree
+
+
+async def _carry(scenario: Scenario, seed: int, kind: str, keepers: int, before: str) -> dict[str, Any]:
+    """One rollout of real processes."""
+    from heronstall.lab.kept import KeptNodes, Rollout
+    from heronstall.lab.run import Run
+
+    with tempfile.TemporaryDirectory(prefix="heronstall-rollout-") as name:
+        folder = Path(name)
+        run = Run(scenario, seed, folder, nodes=functools.partial(KeptNodes, keepers=keepers))
+        task = asyncio.create_task(run.run())
+        began = asyncio.create_task(run.began.wait())
+        await asyncio.wait([task, began], return_when=asyncio.FIRST_COMPLETED)
+        if task.done():
+            task.result()
+        nodes = run.nodes
+        assert isinstance(nodes, KeptNodes)
+        tree = None
+        if kind == "revisions":
+            tree = _worktree(folder, before)
+            new = nodes.release("new", ("-B", "-m", "heronstall"), tree)
+        elif kind == "bad":
+            new = nodes.release("new", ("-B", "-m", "tests.versions", "refuses"))
+        else:
+            settings = folder / "settings.json"
+            settings.write_text('{"note": "nothing that the program reads"}')
+            new = nodes.release("new", ("-B", "-m", "heronstall"), settings=str(settings))
+        file = nodes.plan_file(
+            "r", new, before_s=20, settle_s=2, watch_s=15, longest_s=60, away=2, every_s=0.5, least_jobs=30
+        )
+        rollout = Rollout(nodes, file)
+        start = time.time()
+        await rollout.start()
+        most, descriptors = 0.0, 0
+
+        async def measure() -> None:
+            nonlocal most, descriptors
+            while True:
+                for pid, _ in nodes.marked():
+                    try:
+                        rows = Path(f"/proc/{pid}/smaps_rollup").read_text().splitlines()
+                        most = max(most, int(next(r for r in rows if r.startswith("Pss:")).split()[1]) / 1024)
+                        descriptors = max(descriptors, len(os.listdir(f"/proc/{pid}/fd")))
+                    except (OSError, StopIteration):
+                        continue
+                await asyncio.sleep(2.0)
+
+        measuring = asyncio.create_task(measure())
+        code = await rollout.end(240.0)
+        measuring.cancel()
+        took = time.time() - start
+        records = rollout.records()
+        at = {r["kind"]: r["at"] for r in records}
+        back = (at["stopped"] - at["back"]) / 1e6 if "stopped" in at and "back" in at else 0.0
+        result = await task
+        if tree is not None:
+            subprocess.run(["git", "-C", ROOT, "worktree", "remove", "--force", tree], check=False)
+    lost = sum(b["rule"] == "lost" for b in result["rules_broken"])
+    return {
+        "code": code,
+        "took": took,
+        "back": back,
+        "failed": result["failed"],
+        "refused": result["refused"],
+        "served": result["served"],
+        "lost": lost,
+        "broken": len(result["rules_broken"]),
+        "verdict": result["verdict"],
+        "mb": most,
+        "descriptors": descriptors,
+        "stages": [r["kind"] for r in records].count("stage"),
+        "why": next((r["reason"] for r in records if r["kind"] == "back"), ""),
+    }
+
+
+def fleet(runs: int, keepers: int, before: str) -> None:
+    """The table of `fleet`."""
+    base = read_scenario(SCENARIO)
+    zones = tuple(replace(z, servers=max(2, z.servers // 3)) for z in base.zones)
+    scenario = replace(base, length=100 * SECOND, rate=60.0, zones=zones)
+    for kind in ("harmless", "revisions", "bad"):
+        rows = [asyncio.run(_carry(scenario, seed, kind, keepers, before)) for seed in range(1, runs + 1)]
+        print(f"{kind}: {runs} runs, {scenario.dispatchers} dispatchers, {keepers} keepers")
+        print(f"  exit codes {dict(Counter(r['code'] for r in rows))}, {Counter(r['why'] for r in rows)}")
+        for key in KEYS:
+            values = [r[key] for r in rows]
+            middle = statistics.median(values)
+            print(f"  {key:<12} median {middle:8.1f}  {min(values):8.1f} to {max(values):8.1f}")
+        print(f"  verdicts {dict(Counter(r['verdict'] for r in rows))}", flush=True)
+
+
+def main() -> None:
+    """The command."""
+    os.environ.setdefault("OPENBLAS_NUM_THREADS", "1")
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("what", choices=("judge", "fleet"))
+    parser.add_argument("--rollouts", type=int, default=500)
+    parser.add_argument("--evenings", type=int, default=16)
+    parser.add_argument("--each", type=int, default=40)
+    parser.add_argument("--runs", type=int, default=10)
+    parser.add_argument("--keepers", type=int, default=3)
+    parser.add_argument("--before", default="HEAD~1", help="the revision that `revisions` changes to")
+    args = parser.parse_args()
+    if args.what == "judge":
+        judge(args.rollouts, args.evenings, args.each)
+    else:
+        fleet(args.runs, args.keepers, args.before)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/heronstall/__main__.py
+++ b/heronstall/__main__.py
@@ -83,15 +83,16 @@
         return max(1, (self.config.sockets // processes - kept) // 2)
 
     def detail(self) -> Detail | None:
-        """Have the door tell what a change is judged by; None where nobody would hear it. Raises ImportError."""
+        """Have the door tell what a change is judged by; None without a door. Raises ImportError."""
         if self.daily is None:
             return None
-        from heronstall.ops.detail import Detail
+        from heronstall.ops.detail import Alarms, Detail
 
         config, loop, figures = self.config, self._loop, self.dispatcher.figures
         detail = Detail(list(config.classes), config.settings.classes, loop.now + self._offset, os.environ)
         detail.attempts, detail.connects = lambda: figures.forwards, lambda: self._pool.connects
         self.daily.operations.detail = detail.rows
+        logging.getLogger("heronstall").addHandler(Alarms(detail))
 
         def look(due: int) -> None:
             now = clock()
--- a/heronstall/cli/main.py
+++ b/heronstall/cli/main.py
@@ -5,8 +5,10 @@
 import click
 
 from heronstall.cli.demo import demo
+from heronstall.cli.keep import keep
 from heronstall.cli.lab import lab
 from heronstall.cli.model import model
+from heronstall.cli.rollout import rollout
 from heronstall.cli.serve import serve
 from heronstall.cli.settings import settings
 
@@ -20,5 +22,5 @@
     """
 
 
-for command in (serve, demo, model, lab, settings):
+for command in (serve, demo, model, lab, keep, rollout, settings):
     main.add_command(command)
--- a/heronstall/events.py
+++ b/heronstall/events.py
@@ -82,6 +82,23 @@
 TRACE_BEGUN = Event("trace.begun", INFO, "trace %(path)s begun")
 TRACE_ENDED = Event("trace.ended", INFO, "trace %(path)s ended, %(dropped)d records dropped")
 TRACE_FAILED = Event("trace.failed", ERROR, "trace %(path)s failed: %(reason)s; serving goes on without it")
+KEEPING = Event(
+    "keep.open", INFO, "keeper %(keeper)s is heard on %(address)s and keeps %(dispatchers)d dispatchers"
+)
+KEPT = Event("keep.closed", INFO, "keeper %(keeper)s ends; its dispatchers go on")
+KEEP_STARTED = Event(
+    "keep.started", INFO, "%(dispatcher)s started as process %(pid)d with %(release)s (%(digest)s)"
+)
+KEEP_YES = Event("keep.yes", INFO, "%(dispatcher)s: process %(pid)d takes clients with %(digest)s")
+KEEP_RELOADED = Event("keep.reloaded", INFO, "%(dispatcher)s: process %(pid)d was told to read %(digest)s")
+KEEP_ENDED = Event("keep.ended", INFO, "%(dispatcher)s: process %(pid)d ended (%(fault)s): %(how)s")
+KEEP_FAILED = Event("keep.failed", WARNING, "%(dispatcher)s: %(what)s failed: %(reason)s")
+ADOPTED = Event(
+    "keep.adopted", INFO, "%(dispatcher)s: process %(pid)d with %(release)s was running and is kept on"
+)
+TOLD = Event("keep.told", INFO, "%(dispatcher)s: process %(pid)d was sent %(signal)s: %(reason)s")
+ROLLOUT = Event("rollout.step", INFO, "%(step)s %(told)s")
+LOOPING = Event("keep.looping", ERROR, "%(dispatcher)s ends again and again, %(ends)d times of late")
 UNEXPECTED = Event("unexpected", ERROR, "unexpected error in %(where)s")
 
 ALL = tuple(value for value in list(vars().values()) if isinstance(value, Event))
--- a/heronstall/fleet/spec.py
+++ b/heronstall/fleet/spec.py
@@ -117,6 +117,32 @@
     back: int = 0
 
 
+@dataclass(frozen=True)
+class Passing:
+    """A message or byte on a link, as a condition."""
+
+    link: str
+    way: str
+    says: str
+    unit: str
+    nth: int
+
+
+@dataclass(frozen=True)
+class Fault:
+    """A fault on a link or of a process; `size` is in the fault's own unit."""
+
+    do: str
+    link: str
+    process: str
+    way: str
+    at: int
+    when: Passing | None
+    length: int
+    size: float
+    jitter: float
+
+
 @dataclass(frozen=True)
 class Scenario:
     """All of it."""
@@ -163,6 +189,7 @@
     goal: tuple[float, float, float, float]  # whole, worst window, worst class, worst tenant
     prices: dict[str, float]
     troubles: tuple[Trouble, ...]
+    faults: tuple[Fault, ...] = ()
 
     @property
     def dispatchers(self) -> int:
@@ -249,6 +276,31 @@
     )
 
 
+def fault(r: dict[str, Any], at: str) -> Fault:
+    """A fault from its checked record. Raises ScenarioError for parts that do not go together."""
+    if ("link" in r) == ("process" in r):
+        raise ScenarioError(f"{at}: either a link or a process is wanted")
+    if ("link" in r) == (r["do"] in ("kill", "stop", "slow", "full-tmp")):
+        raise ScenarioError(f"{at}.do: {r['do']} is not for a {'link' if 'link' in r else 'process'}")
+    if ("at_s" in r) == ("when" in r):
+        raise ScenarioError(f"{at}: either at_s or when is wanted")
+    if r["do"] in ("garble", "slow") and r["size"] > 1:
+        raise ScenarioError(f"{at}.size: {r['size']:g} where a part of at most 1 is wanted")
+    w = r.get("when")
+    when = Passing(w["link"], w["way"], w["says"], w["unit"], w["nth"]) if w else None
+    return Fault(
+        r["do"],
+        r.get("link", ""),
+        r.get("process", ""),
+        r["way"],
+        _us(r.get("at_s", 0)),
+        when,
+        _us(r["for_s"]),
+        r["size"],
+        r["jitter_ms"],
+    )
+
+
 def scenario(r: dict[str, Any]) -> Scenario:
     """A scenario from its checked record. Raises ScenarioError for parts that do not go together."""
     zones = tuple(Zone(n, z["dispatchers"], z["servers"], z["traffic"]) for n, z in r["zones"].items())
@@ -319,4 +371,5 @@
         goal=(goal["whole"], goal["worst_window"], goal["worst_class"], goal["worst_tenant"]),
         prices=dict(r["prices"]),
         troubles=tuple(_trouble(n, t, names, classes) for n, t in enumerate(r["troubles"])),
+        faults=tuple(fault(f, f"faults[{n}]") for n, f in enumerate(r["faults"])),
     )
--- a/heronstall/lab/nodes.py
+++ b/heronstall/lab/nodes.py
@@ -18,6 +18,7 @@
 from heronstall.fleet import boundary as b
 from heronstall.fleet.fleet import Plan, settings_of
 from heronstall.lab.clock import RealTime
+from heronstall.lab.faults import Faults
 
 PORT = 8081
 READY_TIME, READY_PAUSE = 30.0, 0.02  # seconds
@@ -92,15 +93,22 @@
         self.crossings: list[b.Crossing] = []
         self._waits: set[asyncio.Task[None]] = set()
 
+    def between(self, faults: Faults) -> None:
+        """Faults may stand between what is here."""
+
+    def pids(self, name: str) -> list[int]:
+        """The processes of a name."""
+        return [n.process.pid for n in self.all if n.process is not None and f"n{n.number}" == name]
+
     def addresses(self) -> list[tuple[str, int]]:
         """Where clients connect."""
         return [(node.host, PORT) for node in self.all]
 
-    async def start(self, node: Node, known: dict[str, Any] | None) -> None:
-        """Start a process; it is not ready yet."""
+    def _told(self, node: Node, known: dict[str, Any] | None) -> dict[str, Any]:
+        """Its configuration for its next life."""
         s = self._plan.scenario
         seed = int(self._plan.streams.of("dispatcher", node.number, node.usage.lives).integers(2**63))
-        config = {
+        return {
             "name": f"n{node.number}",
             "listen": f"{node.host}:{PORT}",
             "discovery": node.discovery,
@@ -109,6 +117,10 @@
             "known": known,
             "settings": settings_of(self._plan, node.number),
         }
+
+    async def start(self, node: Node, known: dict[str, Any] | None) -> None:
+        """Start a process; it is not ready yet."""
+        config = self._told(node, known)
         path = Path(self._private.name) / f"n{node.number}.json"
         path.write_text(json.dumps(config), encoding="utf-8")
         environ = {k: v for k, v in os.environ.items() if not k.startswith("NODE_")}
--- a/heronstall/lab/run.py
+++ b/heronstall/lab/run.py
@@ -21,6 +21,7 @@
 from heronstall.fleet.troubles import nodes_of
 from heronstall.lab import load, world
 from heronstall.lab.clock import RealTime, lateness, monotonic
+from heronstall.lab.faults import Faults, mine
 from heronstall.lab.load import End
 from heronstall.lab.nodes import DEFAULT, LabError, Node, Nodes
 from heronstall.lab.pipe import listen
@@ -108,11 +109,15 @@
         program: tuple[str, ...] = DEFAULT,
         live: Live | None = None,
         settings: Path | None = None,
+        nodes: Callable[..., Nodes] = Nodes,
     ) -> None:
         self.scenario, self.seed = scenario, seed
+        self._make_nodes = nodes
         self._folder, self._program, self._live, self._settings = folder, program, live, settings
         self.plan = Plan(scenario, seed)
         self.breaches: list[Any] = []
+        self.faults = Faults((), seed, lambda when, call: None)
+        self.began = asyncio.Event()
         self._tasks: set[asyncio.Task[Any]] = set()
 
     async def run(self) -> dict[str, Any]:
@@ -130,18 +135,21 @@
                 child.listen()
             ready = [child.ask("", None, "ready") for child in children]
             discovery = (await asyncio.gather(*ready))[0]
-            self._nodes = nodes = Nodes(
+            self.nodes = nodes = self._make_nodes(
                 self.plan, self.time, self._folder, discovery, self._program, self._settings
             )
+            self._between(nodes)
             for node in nodes.all:
                 await nodes.start(node, None)
             await asyncio.gather(*(nodes.ready(node) for node in nodes.all))
             origin = monotonic() + SECOND // 5
             self._world.say("begin", (origin, clock.time_ns() // 1_000_000 + 200))
             for child in self._loads:
-                child.say("begin", (origin, nodes.addresses()))
+                child.say("begin", (origin, self._fronts))
             self.time.begin(origin)
             self._troubles()
+            self.faults.begin(nodes.pids)
+            self.began.set()
             await self._play()
             told = await asyncio.gather(*(child.ask("end", None, "load") for child in self._loads))
             await nodes.end()
@@ -149,12 +157,22 @@
         finally:
             for task in self._tasks:
                 task.cancel()
+            self.faults.close()
             if nodes is not None:
                 nodes.kill_all()
             for child in children:
                 child.close()
         return self._result(told_world, told, clock.perf_counter() - began)
 
+    def _between(self, nodes: Nodes) -> None:
+        """Put relays where faults are asked for; the world has its own, on its side of the dispatchers."""
+        self.faults = Faults(mine(self.scenario.faults), self.seed, self.time.at)
+        self._fronts = []
+        for n, (host, port) in enumerate(nodes.addresses()):
+            host, _, told = self.faults.link(f"clients>n{n}", f"{host}:{port}").rpartition(":")
+            self._fronts.append((host, int(told)))
+        nodes.between(self.faults)
+
     # ------------------------------------------------------------------ troubles among dispatchers
 
     def _troubles(self) -> None:
@@ -164,11 +182,11 @@
                     self.time.at(trouble.at, lambda n=number, t=trouble: self._strike(n, t))  # type: ignore[misc]
 
     def _strike(self, number: int, trouble: Trouble) -> None:
-        task = asyncio.get_running_loop().create_task(self._struck(self._nodes.all[number], trouble))
+        task = asyncio.get_running_loop().create_task(self._struck(self.nodes.all[number], trouble))
         self._tasks.add(task)
 
     async def _struck(self, node: Node, trouble: Trouble) -> None:
-        nodes, time = self._nodes, self.time
+        nodes, time = self.nodes, self.time
         back = time.now + trouble.length
         if trouble.kind == "dispatcher-crash":
             notices = self.plan.streams.figure(self.scenario.front, "front", node.number, "notices")
@@ -205,21 +223,21 @@
                         "counts": [counts for counts, _ in told],
                         "open": sum(left for _, left in told),
                         "servers": servers,
-                        "dispatchers": [node.process is not None for node in self._nodes.all],
+                        "dispatchers": [node.process is not None for node in self.nodes.all],
                     }
                 )
             if self.time.now >= s.length and sum(left for _, left in told) == 0:
                 return
 
     def _result(self, told_world: Any, told: list[Any], wall: float) -> dict[str, Any]:
-        crossings, tallies, fallen, world_late = told_world
+        crossings, tallies, fallen, world_late, world_took = told_world
         dispatcher_zones, server_zones = zones(self.plan)
         fates, ends = Fates(self.plan), []
         for _, some, _, _ in told:
             ends += some
         for end in sorted(ends, key=lambda e: (e.at, e.try_.id)):
             self._fate(fates, end)
-        merged = [*crossings, *self._nodes.crossings]
+        merged = [*crossings, *self.nodes.crossings]
         for some, _, _, _ in told:
             merged += some
         merged.sort(key=lambda c: (c.at, ORDER.get(type(c), 9)))
@@ -239,11 +257,12 @@
         too_late = [
             name for name, row in late.items() if row["p99_ms"] > LATE_P99 or row["worst_ms"] > LATE_WORST
         ]
-        usage = [node.usage for node in self._nodes.all]
+        usage = [node.usage for node in self.nodes.all]
         jobs = max(1, len(self.plan.requests))
         more = {
             "handshakes": sum(t.handshakes for t in tallies),
             "fallen": fallen,
+            "faults": [[took.text(), took.times] for took in (*self.faults.took(), *world_took)],
             "verdict": f"none: {', '.join(too_late)} ran late" if too_late else "measured",
         }
         timing = {
--- a/heronstall/lab/world.py
+++ b/heronstall/lab/world.py
@@ -20,6 +20,7 @@
 from heronstall.fleet.streams import Table, uniforms
 from heronstall.lab.clock import RealTime, lateness
 from heronstall.lab.connection import ServerConnection
+from heronstall.lab.faults import Faults, mine
 from heronstall.lab.listener import Listener
 from heronstall.lab.pipe import end, listen
 from heronstall.lab.watch import Agent
@@ -43,6 +44,8 @@
         self._listeners: dict[tuple[int, int], Listener] = {}
         self._connections: dict[ServerConnection, None] = {}
         self._zones = zones(self.plan)[0]
+        self._through: dict[str, str] = {}  # the addresses of links, a relay's where a fault is about them
+        self.faults = Faults(mine(scenario.faults, True), seed, self.time.at)
         self.fleet = Fleet(scenario, seed, self.time, self._endpoint, self)
         self.ways = self.fleet.ways
         self.ways.on_cut.append(lambda zone: self._listen_all())
@@ -60,7 +63,11 @@
             self._numbers[try_id(request.number, 0)] = request.number
 
     def _endpoint(self, node: int, server: Server) -> str:
-        return self._listeners[node, server.number].address
+        address = self._listeners[node, server.number].address
+        name = f"n{node}>s{server.number}"
+        if name not in self._through:
+            self._through[name] = self.faults.link(name, address)
+        return self._through[name]
 
     def _accepts(self, node: int, server: Server) -> Callable[[socket.socket], None]:
         def make() -> ServerConnection:
@@ -164,6 +171,7 @@
             origin, unix_ms = value
             self.fleet.roster.origin_ms = unix_ms
             self.time.begin(origin)
+            self.faults.begin(lambda name: [])
         elif what == "held":
             self._pipe.send(("held", (value, self.fleet.roster.whole(value))))
         elif what == "live":
@@ -185,14 +193,17 @@
         elif what == "end":
             tallies = [s.tally for s in self.fleet.servers]
             fallen = [s.uid for s in self.fleet.servers if s.fallen]
-            self._pipe.send(("world", (self.crossings, tallies, fallen, lateness(self.time.late))))
+            self._pipe.send(
+                ("world", (self.crossings, tallies, fallen, lateness(self.time.late), self.faults.took()))
+            )
 
     def addresses(self) -> list[str]:
         """Where each dispatcher finds discovery."""
-        return [listener.address for listener in self._discovery]
+        return [self.faults.link(f"n{n}>discovery", one.address) for n, one in enumerate(self._discovery)]
 
     def close(self) -> None:
         """Let go of every socket."""
+        self.faults.close()
         for connection in list(self._connections):
             connection.reset()
         for listener in [*self._listeners.values(), *self._discovery]:
--- a/heronstall/ops/detail.py
+++ b/heronstall/ops/detail.py
@@ -1,12 +1,15 @@
-"""What a change of the program is judged by and INFO does not say: lateness, latency, footprint, cost, version.
+"""What a change of the program is judged by and INFO does not say: lateness, latency, footprint, cost,
+version.
 
-An `Observer` of the `Dispatcher`, made only where the operator's file asks for it (`figures: detail: true`). All
-counts run from the process's start; whoever reads them takes differences. Latencies and loop delays are
-HdrHistogram V2 (Gil Tene), compressed, in base64, so that differences and sums of them are exact.
+An `Observer` of the `Dispatcher`, made only where the operator's file asks for it (`figures: detail:
+true`). All counts run from the process's start; whoever reads them takes differences. Latencies and loop
+delays are HdrHistogram V2 (Gil Tene), compressed, in base64, so that differences and sums of them are
+exact.
 """
 
 from __future__ import annotations
 
+import logging
 import os
 import time
 from collections.abc import Callable, Iterator, Mapping, Sequence
@@ -14,6 +17,7 @@
 
 from hdrh.histogram import HdrHistogram
 
+from heronstall import events
 from heronstall import interface as i
 
 VERSION = 1  # of the rows; a reader passes over names that it does not know
@@ -22,6 +26,7 @@
 DIGITS = 2
 RELEASE = "HERONSTALL_RELEASE"  # name@digest, as whoever started this process told it
 PAGE_KB = os.sysconf("SC_PAGE_SIZE") // 1024
+GUARDS = tuple(event.name for event in (events.NO_ANSWER, events.NOT_MADE, events.UNKNOWN_SESSION))
 COUNTS = ("taken", "intime", "served", "refused", "failed", "gone")
 
 
@@ -34,6 +39,11 @@
         return 0
 
 
+def own_cost() -> tuple[int, int]:
+    """This process's CPU time so far in microseconds, and its memory in KiB."""
+    return time.process_time_ns() // 1000, resident_kb()
+
+
 class Detail:
     """Counts by class, histograms, and what this process is. Free of I/O but for its own memory's size."""
 
@@ -47,7 +57,9 @@
         self._latency = [HdrHistogram(1, LONGEST, DIGITS) for _ in self._names]
         self._loop = HdrHistogram(1, LONGEST, DIGITS)
         self._probes = 0
+        self.alarms = 0  # times that a guard met a rule about to break
         self.attempts: Callable[[], int] = lambda: 0  # written whole
+        self.cost: Callable[[], tuple[int, int]] = own_cost
         self.connects: Callable[[], int] = lambda: 0  # connections to servers that were asked for
 
     # ------------------------------------------------------------------ what is seen
@@ -63,7 +75,7 @@
                 cls = self._classes[event.cls]
                 late = now + cls.aim + int(cls.stretch * (event.work or 0))
                 self._open[event.request] = (event.cls, now, late)
-                self._counts["taken"][event.cls] += 1
+                self.taken(event.cls)
             elif isinstance(event, i.ClientGone):
                 self._end(now, event.request, "gone")
         for action in said:
@@ -74,15 +86,23 @@
             elif isinstance(action, i.Fail):
                 self._end(now, action.request, "failed")
 
+    def taken(self, cls: int) -> None:
+        """A job has come whole."""
+        self._counts["taken"][cls] += 1
+
     def _end(self, now: int, request: int, how: str) -> None:
         row = self._open.pop(request, None)
         if row is None:
             return
         cls, taken, late = row
+        self.ended(cls, how, now - taken, now <= late)
+
+    def ended(self, cls: int, how: str, after: int, intime: bool) -> None:
+        """A job that was taken has its end, so many microseconds later."""
         self._counts[how][cls] += 1
         if how == "served":
-            self._counts["intime"][cls] += now <= late
-            self._latency[cls].record_value(min(LONGEST, max(1, (now - taken) // STEP)))
+            self._counts["intime"][cls] += intime
+            self._latency[cls].record_value(min(LONGEST, max(1, after // STEP)))
 
     def delayed(self, by: int) -> None:
         """A call of the loop came so many microseconds after it was due."""
@@ -96,11 +116,13 @@
         yield "about.release", self._release
         yield "about.pid", str(os.getpid())
         yield "about.born_us", str(self._born)
-        yield "cpu_us", str(time.process_time_ns() // 1000)
-        yield "memory_kb", str(resident_kb())
+        cpu_us, memory_kb = self.cost()
+        yield "cpu_us", str(cpu_us)
+        yield "memory_kb", str(memory_kb)
         yield "attempts", str(self.attempts())
         yield "connects", str(self.connects())
         yield "probes", str(self._probes)
+        yield "alarms", str(self.alarms)
         yield "loop", self._loop.encode().decode()
         for n, name in enumerate(self._names):
             for count in COUNTS:
@@ -109,6 +131,19 @@
             yield f"latency.{name}", self._latency[n].encode().decode()
 
 
+class Alarms(logging.Handler):
+    """Counts the log lines by which this program's own guards say that a rule was about to break."""
+
+    def __init__(self, detail: Detail) -> None:
+        super().__init__(logging.ERROR)
+        self._detail = detail
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """One line."""
+        if getattr(record, "event", None) in GUARDS:
+            self._detail.alarms += 1
+
+
 class Watching(Protocol):
     """An observer of the decisions, as the `Dispatcher` names it."""
 
--- a/heronstall/records/read.py
+++ b/heronstall/records/read.py
@@ -28,6 +28,7 @@
 SCHEMAS = Path(__file__).with_name("schemas")
 DEEPEST = 60  # nested references; guards against a definition that contains itself
 LARGEST = 1 << 20  # bytes of one file
+KNOWN = ("scenario", "operator", "keeper", "release", "rollout")
 
 
 class RecordsError(ValueError):
@@ -234,9 +235,7 @@
     return evaluator.definitions, evaluator.definitions["#File"]
 
 
-def loads(
-    text: str, file: str, kinds: tuple[str, ...] = ("scenario", "operator")
-) -> tuple[str, dict[str, Any]]:
+def loads(text: str, file: str, kinds: tuple[str, ...] = KNOWN) -> tuple[str, dict[str, Any]]:
     """Check `text` against the schema that its `package` names; the schema's name and the plain record.
 
     Raises RecordsError with every problem found; each has file, line, column and path.
@@ -266,7 +265,7 @@
     return package, record
 
 
-def load(path: Path, kinds: tuple[str, ...] = ("scenario", "operator")) -> tuple[str, dict[str, Any]]:
+def load(path: Path, kinds: tuple[str, ...] = KNOWN) -> tuple[str, dict[str, Any]]:
     """`loads` of a file. Raises RecordsError, also for a file that cannot be read."""
     at = Place(str(path), 1, 1)
     try:
--- a/heronstall/records/schemas/scenario.cue
+++ b/heronstall/records/schemas/scenario.cue
@@ -25,6 +25,7 @@
 	goal:     #Goal
 	prices:   #Prices
 	troubles: *[] | [...#Trouble]
+	faults:   *[] | [...#Fault]      // between processes and to them; on loopback alone
 }
 
 #Zone: {
@@ -164,3 +165,26 @@
 #Resets:            {kind: "resets", at_s: #When.at_s, for_s: #When.for_s, share: #Part}
 #Stale:             {kind: "stale", at_s: #When.at_s, for_s: #When.for_s, after_s: number & >0}
 #DiscoverySilent:   {kind: "discovery-silent", at_s: #When.at_s, for_s: #When.for_s}
+
+// A fault on a link ("who>whom", * for any: "controller>k0", "n1>s3", "n*>discovery", "clients>n2") or of a process
+// ("n1", "k0", "controller"), at a moment or when something passes; docs/lab.md. One that never took effect fails the run.
+#Fault: {
+	link?:    string & =~">"
+	process?: string
+	do: "delay" | "rate" | "silence" | "cut" | "refuse" | "reset" | "half-close" | "garble" |
+		"kill" | "stop" | "slow" | "full-tmp"
+	way:      *"both" | "there" | "back"
+	at_s?:    number & >=0
+	when?:    #Passing
+	for_s:    *0 | number & >=0          // 0: to the end of the run
+	size:     *0 | number & >=0          // ms of delay, bytes a second, part of chunks, share of a core
+	jitter_ms: *0 | number & >=0
+}
+
+#Passing: {
+	link: string & =~">"
+	way:  *"there" | "back"
+	says: *"" | string                   // only messages that hold this
+	unit: *"messages" | "bytes"
+	nth:  *1 | int & >=1
+}
--- /dev/null
+++ b/tests/versions.py
@@ -0,0 +1,176 @@
+"""Versions of the dispatcher that each do worse in one way, for a rollout to find.
+
+`python -m tests.versions NAME [ARG]` is the real program with that fault. Faults come by what is counted (a
+job, a call), never by a clock.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+import time
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from heronstall import interface as i
+from heronstall.decide import Balancer
+
+CRASH_AFTER = 25  # jobs
+HEAVY = 0.02  # seconds of CPU a job
+LEAK = 1 << 19  # bytes, at each look of the loop, ten times a second
+
+
+class Watched:
+    """The real decisions, with something done at each arrival."""
+
+    def __init__(self, settings: i.Settings, seed: int) -> None:
+        self.real = Balancer(settings, seed)
+        self.settings, self.jobs = settings, 0
+
+    def avoided(self, now: int) -> list[int]:
+        """As the module's own."""
+        return self.real.avoided(now)
+
+    def handle(self, now: int, events: Sequence[i.Event]) -> list[i.Action]:
+        """As the module's own."""
+        refused: list[i.Action] = []
+        kept: list[i.Event] = []
+        for event in events:
+            if isinstance(event, i.Arrival):
+                self.jobs += 1
+                if self.refuses(event):
+                    refused.append(i.Refuse(event.request, 0))
+                    continue
+                self.arrived(event)
+            kept.append(event)
+        return refused + self.real.handle(now, kept)
+
+    def refuses(self, arrival: i.Arrival) -> bool:
+        """Whether this one is turned away."""
+        return False
+
+    def arrived(self, arrival: i.Arrival) -> None:
+        """A job is here."""
+
+
+class Crashes(Watched):
+    """Serves well for a while, then ends."""
+
+    def arrived(self, arrival: i.Arrival) -> None:
+        if self.jobs > CRASH_AFTER:
+            sys.stderr.flush()
+            os._exit(3)
+
+
+class Refuses(Watched):
+    """Turns away two in five of the dearest class, and of no other."""
+
+    def refuses(self, arrival: i.Arrival) -> bool:
+        worths = [c.worth for c in self.settings.classes]
+        return worths[arrival.cls] == max(worths) and self.jobs % 5 < 2
+
+
+class Heavy(Watched):
+    """Burns CPU for each job."""
+
+    def arrived(self, arrival: i.Arrival) -> None:
+        until = time.process_time() + HEAVY
+        while time.process_time() < until:
+            pass
+
+
+class Zone(Refuses):
+    """Does worse in one zone alone, the first."""
+
+    def refuses(self, arrival: i.Arrival) -> bool:
+        return self.settings.zone == 0 and self.jobs % 2 == 0
+
+
+DECISIONS: dict[str, type[Watched]] = {
+    "good": Watched,
+    "crashes": Crashes,
+    "refuses": Refuses,
+    "heavy": Heavy,
+    "zone": Zone,
+}
+
+
+def _dies(program: Any) -> None:
+    sys.exit(7)
+
+
+def _deaf(program: Any) -> None:
+    """Says yes at its door, and takes no client's connection."""
+    from heronstall.net.frontend import Frontend
+
+    def accept(self: Any) -> Any:
+        while True:
+            yield -1, 0, None
+
+    Frontend._accept = accept  # type: ignore[method-assign]
+
+
+def _no_yes(program: Any) -> None:
+    from heronstall.net.operations import Operations, Reply
+
+    Operations.ping = lambda self: Reply(False, "not yet")  # type: ignore[method-assign]
+
+
+def _leaks(program: Any) -> None:
+    from heronstall.ops.detail import Detail
+
+    held: list[bytes] = []
+    before = Detail.delayed
+
+    def delayed(self: Detail, by: int) -> None:
+        held.append(os.urandom(1024) * (LEAK // 1024))
+        before(self, by)
+
+    Detail.delayed = delayed  # type: ignore[method-assign]
+
+
+def _doubles(program: Any) -> None:
+    """Asks every server it may, again and again: what it sends is twice what it should be."""
+    from heronstall.net.backend import HttpBackend
+
+    before = HttpBackend.dispatch
+
+    def dispatch(self: Any, session: Any, server: Any, index: int, until: int) -> Any:
+        self.probe(server)
+        self.probe(server)
+        return before(self, session, server, index, until)
+
+    HttpBackend.dispatch = dispatch  # type: ignore[method-assign]
+
+
+def _writes(program: Any) -> None:
+    """Leaves files of a later version behind, which the old one does not know."""
+    from heronstall.ops import handover
+
+    handover.VERSION = 2
+
+
+PATCHES: dict[str, Callable[[Any], None]] = {
+    "dies": _dies,
+    "deaf": _deaf,
+    "no-yes": _no_yes,
+    "leaks": _leaks,
+    "doubles": _doubles,
+    "writes": _writes,
+}
+
+
+def main(name: str) -> int:
+    """The real program with a fault."""
+    from heronstall import __main__ as program
+    from heronstall.net import dispatcher
+
+    if name in DECISIONS:
+        vars(dispatcher)["Balancer"] = DECISIONS[name]
+    else:
+        PATCHES[name](program)
+    return program.main()
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1]))
