Leave no half record behind where the disk is full, and wait before a failed step is tried again

A step that failed was tried every 50 ms with a log line each, and the end of a process that could not be written down was forgotten (Keeper._turn, Keeper._ended).

Change: a record that is not whole is cut off again before the error is passed on; a failed step waits a second; an end is written down again later.

Result: the new test fails without the cut.

--- a/heronstall/keeper/keeper.py
+++ b/heronstall/keeper/keeper.py
@@ -29,6 +29,7 @@
 
 TURN = 0.05  # seconds between looks at what is due
 ASK_TIME = 1.0  # seconds for a dispatcher's door
+AGAIN = 1_000_000  # microseconds until a step that failed is tried again
 COMPACT = 2000  # records in a journal at a start, beyond which it is written anew
 SECOND = 1_000_000
 log = logging.getLogger("heronstall.keeper")
@@ -86,6 +87,7 @@
         self._places = {name: Place(name, file.limits) for name in file.kept}
         self._watches: dict[str, Callable[[], None]] = {}
         self._asking: set[str] = set()
+        self._not_before: dict[str, int] = {}  # after a step that failed, a full disk's for one
         self._tasks: set[asyncio.Task[None]] = set()
         self._woken = asyncio.Event()
         self._replayed = self._log.records
@@ -175,11 +177,13 @@
                     processes.tell(pid, getattr(signal, f"SIG{process.told}"))
 
     def _turn(self, place: Place) -> None:
-        for do in place.due(unix_us()):
+        now = unix_us()
+        for do in place.due(now) if now >= self._not_before.get(place.name, 0) else []:
             try:
                 self._do(place, do)
             except (OSError, ReleaseError) as error:
                 say(log, events.KEEP_FAILED, dispatcher=place.name, what=do.kind, reason=str(error))
+                self._not_before[place.name] = now + AGAIN
         for process in place.processes:
             if not process.yes and process.pid and process.token not in self._asking:
                 self._asking.add(process.token)
@@ -250,7 +254,13 @@
             return
         whose: Fault = "asked" if process.told and fault != "never" else fault
         say(log, events.KEEP_ENDED, dispatcher=place.name, pid=process.pid, how=how, fault=whose)
-        self._write("ended", d=place.name, token=token, how=how, fault=whose)
+        try:
+            self._write("ended", d=place.name, token=token, how=how, fault=whose)
+        except OSError as error:
+            say(log, events.KEEP_FAILED, dispatcher=place.name, what="ended", reason=str(error))
+            loop = asyncio.get_running_loop()
+            loop.call_later(AGAIN / SECOND, self._ended, place, token, how, fault)
+            return
         if place.looping(unix_us()):
             say(log, events.LOOPING, dispatcher=place.name, ends=len(place.ends))
         self._config(token).unlink(missing_ok=True)
@@ -282,8 +292,8 @@
                 self._write("yes", d=place.name, token=process.token)
                 say(log, events.KEEP_YES, dispatcher=place.name, pid=process.pid, digest=process.digest)
                 self._woken.set()
-        except CallError:
-            pass  # not yet
+        except OSError:  # a CallError is one: not yet, or it cannot be written down now
+            pass
         finally:
             self._asking.discard(process.token)
 
--- a/heronstall/keeper/log.py
+++ b/heronstall/keeper/log.py
@@ -52,13 +52,19 @@
             os.close(folder)
 
     def append(self, kind: str, fields: Record) -> Record:
-        """Write a record; it is on the disk when this returns. After an OSError it may be there or not."""
+        """Write a record; it is on the disk when this returns. Raises OSError: then it is not there."""
         at = max(unix_us(), self.records[-1]["at"] if self.records else 0)
         line = pack(len(self.records), at, kind, fields)
+        whole = os.fstat(self._fd).st_size
         written = 0
-        while written < len(line):
-            written += os.write(self._fd, line[written:])
-        os.fsync(self._fd)
+        try:
+            while written < len(line):
+                written += os.write(self._fd, line[written:])
+            os.fsync(self._fd)
+        except OSError:
+            # Guards what is written next: behind half a line it would be damage in the middle.
+            os.ftruncate(self._fd, whole)
+            raise
         record = {"n": len(self.records), "at": at, "kind": kind, **fields}
         self.records.append(record)
         return record
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import os
 import random
+from collections.abc import Callable
 from dataclasses import replace
 from functools import cache
+from pathlib import Path
 from typing import Any
 from unittest import mock
 
@@ -15,6 +18,7 @@
 
 from heronstall.fleet.spec import Trouble, Zone
 from heronstall.keeper.calls import CallError, parse, rows
+from heronstall.keeper.log import Busy, Log
 from heronstall.keeper.place import Limits, Place
 from heronstall.model.rollouts import NEW, OLD, ORIGIN, Evening, Outcome, Plant, Stage, evening
 from heronstall.records import loads
@@ -104,6 +108,32 @@
         State.of([{"n": 0, "at": 0, "kind": "dance"}])
 
 
+def test_a_full_disk_leaves_no_half_record_behind_which_others_follow(tmp_path: Path) -> None:
+    with Log(tmp_path / "j") as log:
+        log.append("one", {"x": 1})
+        real = os.write
+        with mock.patch("os.write", half(real)), pytest.raises(OSError, match="full"):
+            log.append("two", {})
+        log.append("three", {})
+        with pytest.raises(Busy):
+            Log(tmp_path / "j")
+    with Log(tmp_path / "j") as log:
+        assert [r["kind"] for r in log.records] == ["one", "three"]
+
+
+def half(real: Callable[[int, bytes], int]) -> Callable[[int, bytes], int]:
+    """A write that takes nine bytes, and nothing more after that."""
+    taken: list[int] = []
+
+    def write(fd: int, data: bytes) -> int:
+        if taken:
+            raise OSError("full")
+        taken.append(1)
+        return real(fd, data[:9])
+
+    return write
+
+
 @given(st.binary(max_size=200))
 def test_a_reply_is_whole_or_an_error(data: bytes) -> None:
     try:
