--- a/heronstall/rollout/journal.py
+++ b/heronstall/rollout/journal.py
@@ -60,7 +60,7 @@
 def _record(line: bytes) -> Record | None:
     """A line's record; None where its sum or form is wrong."""
     try:
-        if int(line[:8], 16) != crc32(line[9:]) or line[8:9] != b" ":
+        if line[:9] != b"%08x " % crc32(line[9:]):
             return None
         record = json.loads(line[9:])
     except ValueError:
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -94,6 +94,12 @@
     assert len(records) <= 4
 
 
+def test_a_sum_in_other_letters_is_damage() -> None:
+    lines = [pack(0, n, "kind", {}) for n in range(40)]
+    line = next(line for line in lines if line[:8] != line[:8].upper())
+    assert unpack(line[:8].upper() + line[8:]) == ([], 0)
+
+
 def test_damage_a_gap_and_a_newer_version_are_said() -> None:
     lines = journal().splitlines(keepends=True)
     with pytest.raises(JournalError, match="record 1 at byte .* damaged"):
