--- a/heronstall/keeper/keeper.py
+++ b/heronstall/keeper/keeper.py
@@ -90,7 +90,6 @@
         self._not_before: dict[str, int] = {}  # after a step that failed, a full disk's for one
         self._tasks: set[asyncio.Task[None]] = set()
         self._woken = asyncio.Event()
-        self._replayed = self._log.records
         for record in self._log.records:
             self._apply(record)
         if len(self._log.records) > COMPACT:
--- a/heronstall/model/rollouts.py
+++ b/heronstall/model/rollouts.py
@@ -126,7 +126,7 @@
         self.detail.cost = lambda: (int(self.cpu), int(self.memory))
         self.detail.attempts = lambda: int(self.attempts)
         self.detail.connects = lambda: int(self.connects)
-        self.cpu = self.attempts = self.connects = self.probes = 0.0
+        self.cpu = self.attempts = self.connects = 0.0
         self.memory = float(MEMORY_KB)
         self.token, self.digest, self.born = token, digest, now
         self.yes_at = 0
@@ -143,7 +143,6 @@
     asked: int = 0
     cpu: float = CPU
     memory: float = MEMORY_KB
-    known: Record = field(default_factory=dict)
 
 
 class Outcome(NamedTuple):
--- a/heronstall/rollout/machine.py
+++ b/heronstall/rollout/machine.py
@@ -52,6 +52,11 @@
     alarms: int = 0  # rules that its own guards say were about to break, by this process
     snapshot: Snapshot | None = None
 
+    @property
+    def ends(self) -> dict[str, int]:
+        """How often its processes have ended unasked, for a record."""
+        return {"crashes": self.crashes, "lost": self.lost}
+
 
 class Seen(NamedTuple):
     """A look at all keepers; who is missing was not heard."""
@@ -59,6 +64,11 @@
     at: int
     dispatchers: dict[str, Sight]
 
+    @property
+    def snapshots(self) -> dict[str, Snapshot]:
+        """Of those whose doors were heard."""
+        return {n: s.snapshot for n, s in self.dispatchers.items() if s.snapshot is not None}
+
 
 class Machine:
     """Decides. Holds a `State`, and what a watch needs beside it."""
@@ -103,7 +113,7 @@
             return by_hand
         gap = self._seen_at and seen.at - self._seen_at > max(GAP, GAP_LOOKS * self.plan.every)
         self._seen_at = seen.at
-        if all(n in seen.dispatchers and seen.dispatchers[n].snapshot is not None for n in state.order):
+        if set(state.order) <= set(seen.snapshots):
             self._blind_at = 0
         if state.phase == "going back":
             return self._back(seen)
@@ -161,11 +171,10 @@
                 told = f"{name}: its own guards met a rule about to break, {sight.alarms} times"
                 return [("back", {"reason": told, "by": "rule"})]
             if sight.lost > before["lost"]:
-                ends = {"crashes": sight.crashes, "lost": sight.lost}
                 if sum(state.losses.values()) + 1 >= STRIKES:
                     told = f"{name} was lost ({sight.ended}), the second in this stage: no chance any more"
                     return [("back", {"reason": told, "by": "crash"})]
-                return [("lost", {"dispatcher": name, "ends": ends, "how": sight.ended})]
+                return [("lost", {"dispatcher": name, "ends": sight.ends, "how": sight.ended})]
         return []
 
     def _refuses(self, sight: Sight, digest: str) -> bool:
@@ -175,7 +184,7 @@
 
     def _before(self, seen: Seen) -> list[Step]:
         """Gather the fleet's own time before."""
-        row = {n: s.snapshot for n, s in seen.dispatchers.items() if s.snapshot is not None}
+        row = seen.snapshots
         if len(row) < len(self.state.homes):
             self._series.clear()  # all of it, or it tells of another fleet
             return []
@@ -237,12 +246,7 @@
         for name in state.under_way:
             sight = seen.dispatchers.get(name)
             if sight is not None and sight.digest == self.new and sight.state == "serving":
-                return [
-                    (
-                        "changed",
-                        {"dispatcher": name, "ends": {"crashes": sight.crashes, "lost": sight.lost}},
-                    )
-                ]
+                return [("changed", {"dispatcher": name, "ends": sight.ends})]
         deaf = [name for name in state.under_way if name not in seen.dispatchers]
         if deaf and (told := self._blind(seen, deaf)):
             return told
@@ -259,30 +263,29 @@
             return self._next()
         if seen.at - state.settled_at < plan.settle:
             return []
-        snapshots = {n: s.snapshot for n, s in seen.dispatchers.items() if s.snapshot is not None}
-        if any(name not in snapshots for name in state.changed):
-            return self._blind(seen, [name for name in state.changed if name not in snapshots])
+        snapshots = seen.snapshots
+        deaf = [name for name in state.changed if name not in snapshots]
+        if deaf:
+            return self._blind(seen, deaf)
         rows = {n: [s.at, dict(s.rows)] for n, s in snapshots.items()}
         return [("watch", {"stage": state.stage, "snapshots": rows})]
 
     def _watching(self, seen: Seen) -> list[Step]:
         state, plan = self.state, self.plan
-        deaf = [n for n in state.changed if n not in seen.dispatchers or seen.dispatchers[n].snapshot is None]
+        snapshots = seen.snapshots
+        deaf = [name for name in state.changed if name not in snapshots]
         if deaf:
             return self._blind(seen, deaf)
-        for name, sight in seen.dispatchers.items():
-            if sight.snapshot is not None and "memory_kb" in sight.snapshot.rows:
-                kb = float(sight.snapshot.rows["memory_kb"])
-                self._memory[name].append((sight.snapshot.at, kb))
+        for name, snapshot in snapshots.items():
+            if "memory_kb" in snapshot.rows:
+                self._memory[name].append((snapshot.at, float(snapshot.rows["memory_kb"])))
         elapsed, whole = seen.at - state.watch_at, plan.watch_of(state.stage)
         due = min(LOOKS, int(elapsed * LOOKS / whole))
         if state.paused or due <= state.looks:
             return []
         judge, found = self._found(seen)
         last = due >= LOOKS
-        alpha = sum(
-            spend(budget(plan, state.attempt), k) for k in range(state.looks + 1, min(due, LOOKS) + 1)
-        )
+        alpha = sum(spend(budget(plan, state.attempt), k) for k in range(state.looks + 1, due + 1))
         look = judge.look(found, state.changed, alpha)
         leaks = leak(self._memory, set(state.changed), alpha, plan.harm["leak_kb_s"])
         harm = [f.text() for f in look.bad] + [f"{name} leaks memory" for name in leaks]
