Stories wait for every dispatcher's yes before they note which release is old

The program was not at fault: all six ran the old release. Four stories read it at that moment.

Change: a story begins once all keepers tell one release of all dispatchers, and keeps it as `old`.

--- a/tests/stories.py
+++ b/tests/stories.py
@@ -83,6 +83,7 @@
             self._task.result()
         assert isinstance(self.run.nodes, KeptNodes)
         self.nodes = self.run.nodes
+        self.old = await self.first()
         return self
 
     async def __aexit__(self, kind: object, error: object, trace: object) -> None:
@@ -113,6 +114,16 @@
                     found[key.removeprefix("dispatcher.")] = json.loads(value)
         return found
 
+    async def first(self) -> str:
+        """The release that all run before anything is asked of it: clients' ports are open before a keeper
+        has had its dispatcher's yes."""
+        while True:
+            found = {row["digest"] for row in (await self.info()).values()}
+            if len(found) == 1 and "" not in found:
+                return str(found.pop())
+            assert not self._task.done(), "the run ended before its dispatchers had begun"
+            await asyncio.sleep(0.05)
+
     async def asked(self, address: str) -> calls.Reply:
         """A keeper's INFO; one that is starting again is waited for."""
         deadline = time.monotonic() + 15
@@ -176,14 +187,13 @@
 
 async def back(story: Story, rollout: Rollout, by: str, code: int = 3) -> dict[str, Any]:
     """A rollout that is stopped, by what it should be; everybody runs the old release again."""
-    before = await story.info()
     await rollout.start()
     assert await rollout.end(LONGEST) == code, rollout.kinds()
     records = rollout.records()
     why = next(r for r in records if r["kind"] == "back")
     assert why["by"] == by, why
     assert records[-1]["kind"] == "stopped"
-    await story.runs(before["n0"]["digest"])
+    await story.runs(story.old)
     return why
 
 
@@ -323,13 +333,12 @@
 async def controller_dies_going_back() -> None:
     """The same while all goes back."""
     async with Story() as story:
-        old = (await story.info())["n0"]["digest"]
         rollout = story.plan(story.version("crashes"), stages=[{"dispatchers": 2}, {"part": 1}])
         await cut_to_the_end(story, rollout)
         kinds = rollout.kinds()
         assert kinds[-1] == "stopped" and "back" in kinds, kinds
         assert kinds.count("return") == kinds.count("returned") == kinds.count("change"), kinds
-        await story.runs(old)
+        await story.runs(story.old)
 
 
 async def cut_to_the_end(story: Story, rollout: Rollout) -> int:
@@ -512,7 +521,6 @@
         'when: {link: "controller>k*", says: "RUN ", nth: 2}}'
     )
     async with Story(held) as story:
-        old = (await story.info())["n0"]["digest"]
         doors = {name: f"{story.nodes.all[int(name[1:])].host}:8082" for name in ("n0", "n1")}
         assert (await calls.call(doors["n0"], "LAMEDUCK", 2.0)).good
         listed = story.run.plan.scenario.servers
@@ -527,7 +535,7 @@
         )
         assert await asyncio.wait_for(process.wait(), 20) == 0
         assert await rollout.end(LONGEST) == 3, rollout.kinds()
-        await story.runs(old)
+        await story.runs(story.old)
         found = await story.info()
         assert all(row["processes"] == 1 for row in found.values())
         for name, figure in (("n0", "YES drained"), ("n1", "ejected=1")):
@@ -586,7 +594,6 @@
 async def writes_newer() -> None:
     """The new version leaves files of a form that the old one does not know; going back works."""
     async with Story() as story:
-        old = (await story.info())["n0"]["digest"]
         rollout = story.plan(story.version("writes"), stages=[{"part": 1}], watch_s=20)
         await rollout.start()
         await rollout.until("watch")
@@ -595,7 +602,7 @@
         )
         assert await asyncio.wait_for(process.wait(), 20) == 0
         assert await rollout.end(LONGEST) == 3, rollout.kinds()
-        await story.runs(old)
+        await story.runs(story.old)
         logs = "".join(path.read_text() for path in story.work.glob("k*/state/n*.log"))
         assert "version 2, 1 is known" in logs
     story.served_all()
