Stories of a server release, a zone cut, a surge and doubled attempts with real processes

Need: these hard cases of a change in stages had been played in virtual time alone; doubled attempts were stood in for by fresh connections.

Change: a lab run can begin a trouble of its servers or ways, and a surge of its clients, at a moment that the caller picks (here the first stage's watch record), beside those that its scenario has by the clock. A planted version breaks off each keyed job's first attempt and makes it again.

--- a/heronstall/fleet/troubles.py
+++ b/heronstall/fleet/troubles.py
@@ -72,6 +72,10 @@
         among = [s.number for s in self._servers if zone is None or s.zone == zone]
         return [self._servers[n] for n in chosen(self._streams, "servers", nth, trouble.part, among)]
 
+    def strike(self, trouble: Trouble) -> None:
+        """Begin one now that the scenario does not have; its `at` says nothing."""
+        self._begin(len(self._s.troubles) + len(self.log), trouble)
+
     def _begin(self, nth: int, t: Trouble) -> None:
         now = self._time.now
         end = now + t.length
--- a/heronstall/lab/load.py
+++ b/heronstall/lab/load.py
@@ -53,6 +53,7 @@
         self.counts = {"served": 0, "refused": 0, "failed": 0, "tries": 0}
         self._idle: dict[int, list[ClientConnection]] = {}
         self._next = 0
+        self._surge = (0, 0, 1.0)  # from, to, how many times as fast
 
     def message(self, what: str, value: Any) -> None:
         """A word from the run's process."""
@@ -66,18 +67,26 @@
         elif what == "enough":  # no more first tries; those that are out go on to their end
             self.open -= len(self.mine) - self._next
             del self.mine[self._next :]
+        elif what == "surge":
+            times, length = value
+            self._surge = (self.time.now, self.time.now + length, times)
+            self._arrivals()
         elif what == "live" and self._pipe is not None:
             self._pipe.send(("load-live", (dict(self.counts), self.open)))
         elif what == "end" and self._pipe is not None:
             self._pipe.send(("load", (self.crossings, self.ends, lateness(self.time.late), self.open)))
 
     def _arrivals(self) -> None:
-        while self._next < len(self.mine) and self.mine[self._next].at <= self.time.now:
+        now = self.time.now
+        start, end, times = self._surge
+        ahead = int((min(now, end) - start) * (times - 1))
+        while self._next < len(self.mine) and self.mine[self._next].at - ahead <= now:
             request = self.mine[self._next]
             self._next += 1
-            self.begin(self.plan.callers.first(request))
+            self.begin(self.plan.callers.first(replace(request, at=now) if ahead else request))
         if self._next < len(self.mine):
-            self.time.at(self.mine[self._next].at, self._arrivals)
+            wait = self.mine[self._next].at - ahead - now
+            self.time.at(now + max(1, int(wait / times) if now < end else wait), self._arrivals)
 
     def begin(self, tried: Try) -> None:
         """Start a try."""
--- a/heronstall/lab/run.py
+++ b/heronstall/lab/run.py
@@ -215,6 +215,15 @@
         for child in self._loads:
             child.say("enough")
 
+    def trouble(self, trouble: Trouble) -> None:
+        """Begin one at servers or ways now, whatever the scenario has."""
+        self._world.say("trouble", trouble)
+
+    def surge(self, times: float, length: int) -> None:
+        """Let requests come so many times as fast for a while from now on (microseconds)."""
+        for child in self._loads:
+            child.say("surge", (times, length))
+
     async def _play(self) -> None:
         s = self.scenario
         last = s.length + max(c.deadline for c in s.classes) + AFTER_END
--- a/heronstall/lab/world.py
+++ b/heronstall/lab/world.py
@@ -190,6 +190,8 @@
                 for s in self.fleet.servers
             ]
             self._pipe.send(("live", rows))
+        elif what == "trouble":
+            self.fleet.troubles.strike(value)
         elif what == "end":
             tallies = [s.tally for s in self.fleet.servers]
             fallen = [s.uid for s in self.fleet.servers if s.fallen]
--- a/tests/stories.py
+++ b/tests/stories.py
@@ -22,7 +22,7 @@
 from pathlib import Path
 from typing import Any
 
-from heronstall.fleet.spec import Zone
+from heronstall.fleet.spec import SECOND, Trouble, Zone
 from heronstall.keeper import calls
 from heronstall.keeper.log import read
 from heronstall.lab.kept import CLI, ROOT, KeptNodes, Rollout
@@ -313,6 +313,48 @@
     story.lost_none()
 
 
+async def resends() -> None:
+    """Makes every attempt at one class twice, at servers that all share."""
+    async with Story() as story:
+        plan = story.plan(story.version("resends"), **JUDGED, harm={**LOOSE, "attempts": 0.1})
+        why = await back(story, plan, "judge")
+        assert "attempts a job" in " ".join(why["all"]), why
+    story.lost_none()
+
+
+# ---------------------------------------------------------------------- troubles that are nobody's fault
+
+
+async def troubled(strike: Callable[[Run], None]) -> None:
+    """Something befalls servers or traffic while the first stage is watched: waited for, and not blamed."""
+    async with Story() as story:
+        harm = {**LOOSE, "worth": 0.02, "refused": 0.02, "failed": 0.02}
+        plan = story.plan(story.version("good"), watch_s=6, patience_s=40, longest_s=60, harm=harm)
+        await plan.start()
+        await plan.until("watch")
+        strike(story.run)
+        assert await plan.end(LONGEST) == 0, plan.records()[-1]
+        assert "trouble" in plan.kinds(), plan.kinds()
+        assert "back" not in plan.kinds()
+        await story.runs(plan.records()[0]["release"].partition("@")[2])
+    story.lost_none()
+
+
+async def release_of_servers() -> None:
+    """All but one of a zone's servers, and of the other's, are replaced."""
+    await troubled(lambda run: run.trouble(Trouble("release", 0, 8 * SECOND, 0.84, back=SECOND)))
+
+
+async def zone_cut() -> None:
+    """A zone's dispatchers reach their own servers alone."""
+    await troubled(lambda run: run.trouble(Trouble("zone-cut", 0, 8 * SECOND, zone="a")))
+
+
+async def surge() -> None:
+    """Four times the jobs for a while."""
+    await troubled(lambda run: run.surge(5.0, 6 * SECOND))
+
+
 # ---------------------------------------------------------------------- processes that die, stop or come
 # twice
 
@@ -659,6 +701,10 @@
         heavy,
         leaks,
         wastes,
+        resends,
+        release_of_servers,
+        zone_cut,
+        surge,
         keeper_replaced,
         two_controllers,
         controller_stopped,
--- a/tests/versions.py
+++ b/tests/versions.py
@@ -86,11 +86,60 @@
         return self.settings.zone == 0 and self.jobs % 2 == 0
 
 
+class Resends(Watched):
+    """Breaks off each keyed job's first attempt once something else happens, and makes it again: the server
+    works for both."""
+
+    def __init__(self, settings: i.Settings, seed: int) -> None:
+        super().__init__(settings, seed)
+        self.first: dict[int, i.Send] = {}  # sent once
+        self.broken: dict[int, i.Send] = {}  # and broken off
+        self.shift: set[int] = set()  # whose attempts are one more than the module knows
+        self.keyed: set[int] = set()
+
+    def arrived(self, arrival: i.Arrival) -> None:
+        if self.settings.classes[arrival.cls].effect == "keyed":
+            self.keyed.add(arrival.request)
+
+    def handle(self, now: int, events: Sequence[i.Event]) -> list[i.Action]:
+        """As the module's own, with the first attempts kept from it."""
+        said: list[i.Action] = []
+        told: list[i.Event] = []
+        breaking, self.first = self.first, {}
+        for event in events:
+            request = getattr(event, "request", -1)
+            if isinstance(event, i.Outcome) and request in self.broken and not event.ended:
+                self.shift.add(request)
+                said.append(self.broken.pop(request))
+                continue
+            if isinstance(event, (i.Outcome, i.ClientGone)) and (
+                isinstance(event, i.ClientGone) or event.ended
+            ):
+                breaking.pop(request, None)
+                self.broken.pop(request, None)
+                self.keyed.discard(request)
+            if isinstance(event, (i.Outcome, i.JobNote)) and request in self.shift:
+                event = event._replace(attempt=event.attempt - 1)
+            told.append(event)
+        for request, send in breaking.items():
+            self.broken[request] = send
+            said.append(i.Cancel(request, 0))
+        for action in super().handle(now, told):
+            if isinstance(action, i.Cancel) and action.request in self.shift:
+                action = action._replace(attempt=action.attempt + 1)
+            if isinstance(action, i.Send) and action.request in self.keyed:
+                self.keyed.discard(action.request)
+                self.first[action.request] = action
+            said.append(action)
+        return said
+
+
 DECISIONS: dict[str, type[Watched]] = {
     "good": Watched,
     "crashes": Crashes,
     "refuses": Refuses,
     "heavy": Heavy,
+    "resends": Resends,
     "zone": Zone,
 }
 
