Carry several fleets of the rollouts' benchmark at once, and count lost jobs by clients' answers

Cause: `lost` counted breaches of a rule that no audit has, so it could only be 0; thirty rollouts one after the other would take an hour; each checked the other revision out anew.

Change: lost are jobs that ended with neither a result nor a refusal; time a stage is a row of its own; --at-once N; one worktree for all runs.

--- a/benchmarks/rollouts.py
+++ b/benchmarks/rollouts.py
@@ -1,7 +1,7 @@
 """Rollouts measured: the judge in virtual time, and whole rollouts of real processes on loopback.
 
     python -m benchmarks.rollouts judge [--rollouts 500] [--evenings 8] [--each 24]
-    python -m benchmarks.rollouts fleet [--runs 10] [--keepers 3]
+    python -m benchmarks.rollouts fleet [--runs 10] [--keepers 3] [--at-once 1]
 
 `judge`: nothing changed (share stopped beside alpha); planted harm of 1, 2, 5 and 10% of worth and of
 latency (share stopped, at which stage, jobs harmed, beside changing all at once and beside a rule of
@@ -23,7 +23,7 @@
 import tempfile
 import time
 from collections import Counter
-from concurrent.futures import ProcessPoolExecutor
+from concurrent.futures import ProcessPoolExecutor, ThreadPoolExecutor
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -39,7 +39,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 SCENARIO = ROOT / "scenarios" / "rollout.cue"
 PLAN = 'package rollout\nname: "x"\nrelease: "/r"\nkeepers: k: "a:1"\njournal: "j"\naway: 2\nevery_s: 2\n'
-KEYS = ("took", "back", "served", "refused", "failed", "lost", "broken", "mb", "descriptors", "stages")
+KEYS = ("took", "stage_s", "back", "served", "refused", "lost", "broken", "mb", "descriptors", "stages")
 PIECE = 8  # rollouts at a time
 LEVELS = (0.01, 0.02, 0.05, 0.10)
 TROUBLES: dict[str, tuple[Trouble, ...]] = {
@@ -191,8 +191,12 @@
     return tree
 
 
-async def _carry(scenario: Scenario, seed: int, kind: str, keepers: int, before: str) -> dict[str, Any]:
-    """One rollout of real processes."""
+def _carried(row: tuple[Scenario, int, str, int, Path]) -> dict[str, Any]:
+    return asyncio.run(_carry(*row))
+
+
+async def _carry(scenario: Scenario, seed: int, kind: str, keepers: int, tree: Path) -> dict[str, Any]:
+    """One rollout of real processes; `tree` is the other revision's."""
     from heronstall.lab.kept import KeptNodes, Rollout
     from heronstall.lab.run import Run
 
@@ -206,9 +210,7 @@
             task.result()
         nodes = run.nodes
         assert isinstance(nodes, KeptNodes)
-        tree = None
         if kind == "revisions":
-            tree = _worktree(folder, before)
             new = nodes.release("new", ("-B", "-m", "heronstall"), tree)
         elif kind == "bad":
             new = nodes.release("new", ("-B", "-m", "tests.versions", "refuses"))
@@ -245,17 +247,16 @@
         back = (at["stopped"] - at["back"]) / 1e6 if "stopped" in at and "back" in at else 0.0
         run.enough()
         result = await task
-        if tree is not None:
-            subprocess.run(["git", "-C", ROOT, "worktree", "remove", "--force", tree], check=False)
-    lost = sum(b["rule"] == "lost" for b in result["rules_broken"])
+    moments = [r["at"] / 1e6 for r in records if r["kind"] in ("stage", "done", "back")]
+    stages = [b - a for a, b in zip(moments, moments[1:], strict=False)]
     return {
         "code": code,
         "took": took,
         "back": back,
-        "failed": result["failed"] - result["untried"],
+        "stage_s": statistics.median(stages) if stages else 0.0,
         "refused": result["refused"],
         "served": result["served"],
-        "lost": lost,
+        "lost": result["failed"] - result["untried"],  # neither its result nor a refusal
         "broken": len(result["rules_broken"]),
         "verdict": result["verdict"],
         "mb": most,
@@ -265,20 +266,30 @@
     }
 
 
-def fleet(runs: int, keepers: int, before: str) -> None:
-    """The table of `fleet`."""
+def fleet(runs: int, keepers: int, before: str, at_once: int) -> None:
+    """The table of `fleet`. Several runs at once disturb each other a little, old and new alike."""
     base = read_scenario(SCENARIO)
     zones = tuple(replace(z, servers=max(2, z.servers // 3)) for z in base.zones)
     scenario = replace(base, length=300 * SECOND, rate=60.0, zones=zones)
-    for kind in ("harmless", "revisions", "bad"):
-        rows = [asyncio.run(_carry(scenario, seed, kind, keepers, before)) for seed in range(1, runs + 1)]
-        print(f"{kind}: {runs} runs, {scenario.dispatchers} dispatchers, {keepers} keepers")
-        print(f"  exit codes {dict(Counter(r['code'] for r in rows))}, {Counter(r['why'] for r in rows)}")
-        for key in KEYS:
-            values = [r[key] for r in rows]
-            middle = statistics.median(values)
-            print(f"  {key:<12} median {middle:8.1f}  {min(values):8.1f} to {max(values):8.1f}")
-        print(f"  verdicts {dict(Counter(r['verdict'] for r in rows))}", flush=True)
+    with tempfile.TemporaryDirectory(prefix="heronstall-before-") as folder:
+        tree = _worktree(Path(folder), before)
+        try:
+            for kind in ("harmless", "revisions", "bad"):
+                work = [(scenario, seed, kind, keepers, tree) for seed in range(1, runs + 1)]
+                with ThreadPoolExecutor(at_once) as pool:  # each run is processes of its own
+                    _fleet_table(kind, list(pool.map(_carried, work)), scenario.dispatchers, keepers)
+        finally:
+            subprocess.run(["git", "-C", ROOT, "worktree", "remove", "--force", tree], check=False)
+
+
+def _fleet_table(kind: str, rows: list[dict[str, Any]], dispatchers: int, keepers: int) -> None:
+    print(f"{kind}: {len(rows)} runs, {dispatchers} dispatchers, {keepers} keepers")
+    print(f"  exit codes {dict(Counter(r['code'] for r in rows))}, {Counter(r['why'] for r in rows)}")
+    for key in KEYS:
+        values = [r[key] for r in rows]
+        middle = statistics.median(values)
+        print(f"  {key:<12} median {middle:8.1f}  {min(values):8.1f} to {max(values):8.1f}")
+    print(f"  verdicts {dict(Counter(r['verdict'] for r in rows))}", flush=True)
 
 
 def main() -> None:
@@ -294,11 +305,12 @@
     parser.add_argument("--runs", type=int, default=10)
     parser.add_argument("--keepers", type=int, default=3)
     parser.add_argument("--before", default="HEAD~1", help="the revision that `revisions` changes to")
+    parser.add_argument("--at-once", type=int, default=1, help="runs of `fleet` beside each other")
     args = parser.parse_args()
     if args.what == "judge":
         judge(args.rollouts, args.evenings, args.each)
     else:
-        fleet(args.runs, args.keepers, args.before)
+        fleet(args.runs, args.keepers, args.before, args.at_once)
 
 
 if __name__ == "__main__":
