--- a/heronstall/cli/rollout.py
+++ b/heronstall/cli/rollout.py
@@ -13,6 +13,7 @@
 from heronstall.cli.common import BadInput
 from heronstall.records import RecordsError, load
 from heronstall.rollout.journal import JournalError, Record
+from heronstall.rollout.judge import LOOKS
 from heronstall.rollout.machine import tell
 from heronstall.rollout.plan import Plan, PlanError, plan
 from heronstall.rollout.state import State
@@ -122,9 +123,35 @@
 def line(record: Record) -> str:
     """A record for people."""
     at = time.strftime("%H:%M:%S", time.localtime(record["at"] / 1e6))
-    skipped = (*BULKY, "v", "n", "at", "kind", "ends", "all", "plan", "name", "classes", "elapsed", "jobs")
+    return f"{at} {record['kind']:<9} {' '.join(_words(record))}".rstrip()
+
+
+def _words(record: Record) -> list[str]:
+    """What it says. Stages count from 1, as in `check` and `status`."""
+    kind, nth = record["kind"], record.get("stage", 0) + 1
+    if kind == "begin":
+        return [record["release"], *(f"{n + 1}: {' '.join(row)};" for n, row in enumerate(record["stages"]))]
+    if kind == "look" and "look" in record:
+        jobs = ", ".join(f"{n:.0f} {name}" for name, n in record["jobs"].items())
+        shown = "; ".join(record.get("harm", [])) or "no harm shown"
+        return [f"stage {nth}, {record['look']} of {LOOKS}: {jobs or 'no jobs'} at new ones; {shown}"]
+    skipped = (
+        *BULKY,
+        "v",
+        "n",
+        "at",
+        "kind",
+        "ends",
+        "all",
+        "plan",
+        "name",
+        "classes",
+        "elapsed",
+        "jobs",
+        "stage",
+    )
     told = [f"{k}={v}" for k, v in record.items() if k not in skipped and v not in ("", [])]
-    return f"{at} {record['kind']:<9} {' '.join(told)}".rstrip()
+    return [*([f"stage {nth}"] if "stage" in record else []), *told]
 
 
 @rollout.command("check")
