A list service with a capacity in the lab, and what starts ask of it and of the servers

Seen on the way: two dispatchers struck at once waited for one answer (`held`), and the first never came back.

Change: scenario keys discovery.lists_per_s and places, a desk free of I/O in fleet/, 503 for who finds no place; the record tells calls, turned away, the worst second, time to news, new connections in all and at one server from the first start in mid-run on; `held` is answered by dispatcher.

--- a/heronstall/fleet/spec.py
+++ b/heronstall/fleet/spec.py
@@ -158,6 +158,8 @@
     kinds: tuple[Kind, ...]
     discovery_delay: Figure
     blind: Figure
+    lists_per_s: float
+    places: int
     reports: Literal["answers", "probe", "none"]
     report_every: Figure
     report_noise: float
@@ -340,6 +342,8 @@
         kinds=tuple(_kind(n, k) for n, k in r["kinds"].items()),
         discovery_delay=figure(r["discovery"]["delay_s"], "discovery.delay_s", SECOND),
         blind=figure(r["discovery"]["blind_s"], "discovery.blind_s", SECOND),
+        lists_per_s=float(r["discovery"]["lists_per_s"]),
+        places=r["discovery"]["places"],
         reports=reports["via"],
         report_every=figure(reports["every_ms"], "reports.every_ms", MS),
         report_noise=reports["noise"],
--- a/heronstall/lab/run.py
+++ b/heronstall/lab/run.py
@@ -25,6 +25,7 @@
 from heronstall.lab.load import End
 from heronstall.lab.nodes import DEFAULT, LabError, Node, Nodes
 from heronstall.lab.pipe import listen
+from heronstall.lab.starts import starts
 
 SLACK = 50_000  # microseconds by which every limit is longer on sockets
 LOAD_RATE = 600.0  # first tries a second that one load process plays
@@ -196,7 +197,7 @@
         else:
             nodes.ask(node)
             time.at(time.now + int(FRONT_SEES_DRAIN * SECOND), lambda: self._front(node.number, False))
-        known = (await self._world.ask("held", node.number, "held"))[1]
+        known = await self._world.ask("held", node.number, f"held {node.number}")
         await nodes.gone(node)
         await asyncio.sleep(max(0.0, (back - time.now) / SECOND))
         await nodes.start(node, known)
@@ -246,7 +247,7 @@
                 return
 
     def _result(self, told_world: Any, told: list[Any], wall: float) -> dict[str, Any]:
-        crossings, tallies, fallen, world_late, world_took = told_world
+        crossings, tallies, fallen, world_late, world_took, asked, accepted = told_world
         dispatcher_zones, server_zones = zones(self.plan)
         fates, ends = Fates(self.plan), []
         for _, some, _, _ in told:
@@ -288,6 +289,7 @@
             "untried": sum(row.tries == 0 for row in fates.rows),
             "faults": [[row.text(), row.times] for row in took],
             "verdict": verdict,
+            "starts": starts(asked, accepted, self.nodes.crossings),
         }
         timing = {
             "simulated_s": self.time.now / SECOND,
--- a/heronstall/lab/watch.py
+++ b/heronstall/lab/watch.py
@@ -11,6 +11,7 @@
 import h11
 
 from heronstall.fleet import boundary as b
+from heronstall.fleet.desk import Desk
 from heronstall.fleet.roster import Roster
 from heronstall.lab.clock import RealTime
 
@@ -21,9 +22,9 @@
     """What one dispatcher can ask, and all its watches."""
 
     def __init__(
-        self, node: int, roster: Roster, time: RealTime, cross: Callable[[b.Crossing], None]
+        self, node: int, roster: Roster, time: RealTime, cross: Callable[[b.Crossing], None], desk: Desk
     ) -> None:
-        self.node, self.roster, self.time, self._cross = node, roster, time, cross
+        self.node, self.roster, self.time, self._cross, self.desk = node, roster, time, cross, desk
         self.watches: dict[WatchConnection, None] = {}
 
     def tell(self, message: dict[str, Any]) -> None:
@@ -85,6 +86,19 @@
         if url.path != "/v1/servers":
             self._send(h11.Response(status_code=404, headers=[("Content-Length", "0")]), h11.EndOfMessage())
             return
+        ready = agent.desk.ask(agent.time.now, agent.node)
+        if ready is None:
+            busy = h11.Response(status_code=503, headers=[("Content-Length", "0")])
+            self._send(busy, h11.EndOfMessage())
+        elif ready <= agent.time.now:
+            self._served(query)
+        else:
+            agent.time.at(ready, lambda: self._served(query))
+
+    def _served(self, query: dict[str, list[str]]) -> None:
+        agent = self._agent
+        if self._transport.is_closing():
+            return
         if "watch" not in query:
             body = json.dumps(agent.whole()).encode()
             head = h11.Response(status_code=200, headers=[("Content-Length", str(len(body)))])
--- a/heronstall/lab/world.py
+++ b/heronstall/lab/world.py
@@ -13,6 +13,7 @@
 
 from heronstall.fleet import boundary as b
 from heronstall.fleet.caller import try_id
+from heronstall.fleet.desk import Desk
 from heronstall.fleet.fleet import Fleet, Plan
 from heronstall.fleet.ledger import zones
 from heronstall.fleet.server import Server
@@ -38,6 +39,7 @@
         self.resets = 0.0
         self.stale: int | None = None
         self.crossings: list[b.Crossing] = []
+        self.accepted: list[tuple[int, int]] = []  # when each connection came, and to which server
         self._draws: Table = uniforms(self.plan.streams, "breaks", "lab")
         self._attempts = 0
         self._numbers: dict[str, int] = {}
@@ -56,7 +58,10 @@
             for server in self.fleet.servers:
                 self._listeners[node, server.number] = Listener(self._accepts(node, server))
         roster = self.fleet.roster
-        self.agents = [Agent(n, roster, self.time, self.cross) for n in range(scenario.dispatchers)]
+        self.desk = Desk(scenario.lists_per_s, scenario.places)
+        self.agents = [
+            Agent(n, roster, self.time, self.cross, self.desk) for n in range(scenario.dispatchers)
+        ]
         roster.on_told.append(lambda node, message: self.agents[node].tell(message))
         self._discovery = [Listener(self._accepted(agent)) for agent in self.agents]
         for request in self.plan.requests:
@@ -73,6 +78,7 @@
         def make() -> ServerConnection:
             connection = ServerConnection(self, node, self._zones[node], server)
             self._connections[connection] = None
+            self.accepted.append((self.time.now, server.number))
             return connection
 
         return self._accepted(make)
@@ -173,7 +179,7 @@
             self.time.begin(origin)
             self.faults.begin(lambda name: [])
         elif what == "held":
-            self._pipe.send(("held", (value, self.fleet.roster.whole(value))))
+            self._pipe.send((f"held {value}", self.fleet.roster.whole(value)))
         elif what == "live":
             rows = [
                 (
@@ -195,9 +201,8 @@
         elif what == "end":
             tallies = [s.tally for s in self.fleet.servers]
             fallen = [s.uid for s in self.fleet.servers if s.fallen]
-            self._pipe.send(
-                ("world", (self.crossings, tallies, fallen, lateness(self.time.late), self.faults.took()))
-            )
+            told = (self.crossings, tallies, fallen, lateness(self.time.late), self.faults.took())
+            self._pipe.send(("world", (*told, self.desk.asked, self.accepted)))
 
     def addresses(self) -> list[str]:
         """Where each dispatcher finds discovery."""
--- a/heronstall/records/schemas/scenario.cue
+++ b/heronstall/records/schemas/scenario.cue
@@ -61,6 +61,8 @@
 #Discovery: {
 	delay_s: *[0.5, 3] | #Figure         // from a change to its telling, drawn for each dispatcher
 	blind_s: *20 | #Figure               // until it notices a machine that went without a word
+	lists_per_s: *0 | number & >=0       // that it can give, one after the other; 0: any number. On loopback alone
+	places:  *8 | int & >=1              // askers that wait for one; the others are turned away
 }
 
 #Reports: {
