--- a/heronstall/lab/kept.py
+++ b/heronstall/lab/kept.py
@@ -257,8 +257,10 @@
         """Wait for the nth record of a kind."""
         deadline = asyncio.get_running_loop().time() + longest
         while self.kinds().count(kind) < nth:
-            if asyncio.get_running_loop().time() > deadline:
-                raise LabError(f"no {kind} record came; there are {' '.join(self.kinds())}")
+            ended = self.process is not None and self.process.returncode is not None
+            if ended or asyncio.get_running_loop().time() > deadline:
+                log = (self._nodes.work / "controller.log").read_text(encoding="utf-8", errors="replace")
+                raise LabError(f"no {kind} record came; there are {' '.join(self.kinds())}\n{log[-1000:]}")
             await asyncio.sleep(0.01)
 
 
--- a/tests/stories.py
+++ b/tests/stories.py
@@ -400,25 +400,50 @@
     """Every keeper is killed after each of its records; a process more or less there never is."""
     async with Story() as story:
         rollout = story.plan(story.version("good"), stages=[{"dispatchers": 1}, {"part": 1}], patience_s=90)
-        done = asyncio.Event()
         await rollout.start()
         await rollout.until("baseline")
-        tending = [asyncio.create_task(tend(story, n, done)) for n in range(3)]
-        for keeper in story.nodes.keepers:
-            assert keeper.process is not None
-            keeper.process.kill()
-        code = await rollout.end(LONGEST + 60)
-        done.set()
-        lives = await asyncio.gather(*tending)
-        assert code == 0, rollout.kinds()
-        written = [
-            len(read(keeper.file.parent / "state" / "keeper.journal")) for keeper in story.nodes.keepers
-        ]
-        assert all(life >= 8 for life in lives), (lives, written)
+        assert await dying_to_the_end(story, rollout, 8) == 0, rollout.kinds()
         await story.runs(rollout.records()[0]["release"].partition("@")[2])
     story.served_all()
 
 
+async def keepers_die_going_back() -> None:
+    """The same while five of six go back."""
+    async with Story() as story:
+        more = {"stages": [{"dispatchers": 5}, {"part": 1}], "watch_s": 60, "longest_s": 90, "patience_s": 90}
+        rollout = story.plan(story.version("good"), **more)
+        await rollout.start()
+        await rollout.until("watch")
+        await say_back(rollout)
+        assert await dying_to_the_end(story, rollout, 5) == 3, rollout.kinds()
+        assert rollout.kinds().count("returned") == 5, rollout.kinds()
+        await story.runs(story.old)
+    story.served_all()
+
+
+async def say_back(rollout: Rollout) -> None:
+    """All back, by the command line."""
+    process = await asyncio.create_subprocess_exec(
+        *CLI, "rollout", "back", str(rollout.file), cwd=ROOT, stdout=asyncio.subprocess.DEVNULL
+    )
+    assert await asyncio.wait_for(process.wait(), 20) == 0
+
+
+async def dying_to_the_end(story: Story, rollout: Rollout, least: int) -> int:
+    """From now on every keeper dies after each of its records, `least` times at least; the rollout's code."""
+    done = asyncio.Event()
+    tending = [asyncio.create_task(tend(story, n, done)) for n in range(3)]
+    for keeper in story.nodes.keepers:
+        assert keeper.process is not None
+        keeper.process.kill()
+    code = await rollout.end(LONGEST + 60)
+    done.set()
+    lives = await asyncio.gather(*tending)
+    written = [len(read(keeper.file.parent / "state" / "keeper.journal")) for keeper in story.nodes.keepers]
+    assert all(life >= least for life in lives), (lives, written)
+    return code
+
+
 async def tend(story: Story, number: int, done: asyncio.Event) -> int:
     """Start a keeper again whenever it has died; one that dies after each record, until all is done."""
     keeper, lives = story.nodes.keepers[number], 0
@@ -572,10 +597,7 @@
         rollout = story.plan(story.version("good"), stages=[{"part": 1}])
         await rollout.start()
         await rollout.until("changed", 2)
-        process = await asyncio.create_subprocess_exec(
-            *CLI, "rollout", "back", str(rollout.file), cwd=ROOT, stdout=asyncio.subprocess.DEVNULL
-        )
-        assert await asyncio.wait_for(process.wait(), 20) == 0
+        await say_back(rollout)
         assert await rollout.end(LONGEST) == 3, rollout.kinds()
         await story.runs(story.old)
         found = await story.info()
@@ -639,10 +661,7 @@
         rollout = story.plan(story.version("writes"), stages=[{"part": 1}], watch_s=20)
         await rollout.start()
         await rollout.until("watch")
-        process = await asyncio.create_subprocess_exec(
-            *CLI, "rollout", "back", str(rollout.file), cwd=ROOT, stdout=asyncio.subprocess.DEVNULL
-        )
-        assert await asyncio.wait_for(process.wait(), 20) == 0
+        await say_back(rollout)
         assert await rollout.end(LONGEST) == 3, rollout.kinds()
         await story.runs(story.old)
         logs = "".join(path.read_text() for path in story.work.glob("k*/state/n*.log"))
@@ -688,6 +707,7 @@
     story.__name__: story
     for story in (
         keepers_die,
+        keepers_die_going_back,
         controller_dies,
         controller_dies_going_back,
         harmless,
