Let those whom the list service turns away spread from at once on, so that it never stands idle

Cause: after a mass start 100 of 100 dispatchers are turned away but a dozen, and each waited at least half of 0.1 s x dispatchers: for five seconds a service of seven lists a second gave none at all, and whoever met a second 503 did so once more (`_keep_up`, server_table.py). Ruled out: the number of calls (1.84 a dispatcher before and after), the time for which they spread.

Change: the pause is drawn from 0.02 to 1.5 of that time in place of 0.5 to 1.5, in a module of its own, free of I/O (heronstall/start/asking.py). The same mean rate as long as all wait, within a third.

The planted old law fails the new test at 100, 200 and 300 dispatchers.

--- a/heronstall/net/server_table.py
+++ b/heronstall/net/server_table.py
@@ -18,6 +18,7 @@
 from heronstall.net.connection import Connection, Ended, Ending, Lines, connect
 from heronstall.net.loop import Coroutine, Loop, Task, sleep
 from heronstall.ops.bans import Bans
+from heronstall.start.asking import Asking
 
 STATES: dict[str, Literal["active", "leaving", "left"]] = {
     "SERVING": "active",
@@ -28,10 +29,7 @@
 # A watch that has missed one counts as dead. Guards against one that falls silent while servers come and go:
 # to ask again costs nothing, and what was missed comes first.
 SILENCE = HEARTBEAT + 600_000
-PAUSE, LONGEST_PAUSE = 100_000, 2_000_000  # between attempts at a new watch
-UNHEARD_PAUSE = 200_000  # the same at an address that has yet to answer: news from there is overdue
 CONNECT_TIME = 1_000_000
-TURNED_AWAY = 100_000  # times the number of dispatchers: the mean pause after discovery turned one away
 TABLE_LINE = 4 * 1024 * 1024
 FORGET = 600_000_000  # a server gone for so long loses its number
 EVER = 16_384  # uids remembered, so that an operator's word on one that is gone is not taken for a mistake
@@ -207,8 +205,7 @@
         return (was is None) != (since is None)
 
     def _keep_up(self, watch: _Watch) -> Coroutine[None]:
-        pause = PAUSE
-        apart = TURNED_AWAY * self._config.settings.nodes
+        asking = Asking(self._config.settings.nodes, self._random)
         while watch is self._watch:
             turned_away = False
             connection: Connection | None = None
@@ -228,15 +225,8 @@
             finally:
                 if connection is not None:
                     connection.close()
-            longest = LONGEST_PAUSE if watch.heard else UNHEARD_PAUSE
-            pause = PAUSE if watch.rev is not None and watch.rev != rev else min(2 * pause, longest)
-            wait = float(pause)
-            if turned_away:
-                # It has more to do than it can. All dispatchers lose their watches, or restart, at one
-                # moment: asking again at one pace they keep it down for good. So they ask so rarely that
-                # together they are few a second, each at moments of its own, so as never to meet again.
-                wait = max(wait, apart) * (0.5 + self._random.random())
-            yield from sleep(self._loop.now + int(wait))
+            told = watch.rev is not None and watch.rev != rev
+            yield from sleep(self._loop.now + asking.ended(told, watch.heard, turned_away))
 
     def _listen(self, watch: _Watch, connection: Connection) -> Coroutine[None]:
         after = "" if watch.rev is None else f"&after={watch.rev}"
--- /dev/null
+++ b/heronstall/start/asking.py
@@ -0,0 +1,34 @@
+"""When to ask the list service again: pauses of one watch, from how the last ones ended. Free of I/O."""
+
+from __future__ import annotations
+
+import random
+
+PAUSE, LONGEST_PAUSE = 100_000, 2_000_000  # microseconds between attempts at a new watch
+UNHEARD_PAUSE = 200_000  # the longest at an address that has yet to answer: news from there is overdue
+TURNED_AWAY = 100_000  # times the number of dispatchers: the time over which those turned away spread
+SOONEST, LATEST = 0.02, 1.5  # of that time
+
+
+class Asking:
+    """One watch's pace, of one dispatcher among `nodes`."""
+
+    def __init__(self, nodes: int, draw: random.Random) -> None:
+        self._apart = TURNED_AWAY * nodes
+        self._draw = draw
+        self._pause = PAUSE
+
+    def ended(self, told: bool, heard: bool, turned_away: bool) -> int:
+        """A watch has ended or could not be begun; microseconds to wait for the next attempt.
+
+        `told`: it had told something new; `heard`: this list service has answered at some time;
+        `turned_away`: it has answered that it cannot now.
+        """
+        longest = LONGEST_PAUSE if heard else UNHEARD_PAUSE
+        self._pause = PAUSE if told else min(2 * self._pause, longest)
+        if not turned_away:
+            return self._pause
+        # It has more to do than it can. All dispatchers lose their watches, or restart, at one moment: asking
+        # again at one pace they keep it down for good. So they ask so rarely that together they are few a
+        # second, each at moments of its own. They begin at once: while all of them wait, it gives no lists.
+        return max(self._pause, int(self._apart * self._draw.uniform(SOONEST, LATEST)))
--- /dev/null
+++ b/tests/test_start.py
@@ -0,0 +1,50 @@
+"""What a dispatcher does at its start, among hundreds that start with it."""
+
+from __future__ import annotations
+
+import heapq
+import random
+
+import pytest
+
+from heronstall.fleet.desk import Desk
+from heronstall.start.asking import LONGEST_PAUSE, PAUSE, UNHEARD_PAUSE, Asking
+
+
+def test_a_watch_that_ends_is_asked_for_again_soon_and_then_ever_later() -> None:
+    asking = Asking(100, random.Random(1))
+    assert asking.ended(told=True, heard=True, turned_away=False) == PAUSE
+    pauses = [asking.ended(told=False, heard=True, turned_away=False) for _ in range(8)]
+    assert pauses == sorted(pauses) and pauses[-1] == LONGEST_PAUSE
+    assert asking.ended(told=False, heard=False, turned_away=False) == UNHEARD_PAUSE
+    assert asking.ended(told=True, heard=True, turned_away=False) == PAUSE
+
+
+@pytest.mark.parametrize("nodes", [100, 200, 300])
+def test_those_turned_away_together_keep_the_list_service_busy_and_no_more(nodes: int) -> None:
+    """Seven lists a second, eight places, all ask within two seconds: the last is served soon after the
+    service's own limit, as it is never left idle while some still wait."""
+    lasts, calls = [], []
+    for seed in range(5):
+        desk, draw = Desk(7, 8), random.Random(seed)
+        asking = [Asking(nodes, random.Random(seed * 1000 + n)) for n in range(nodes)]
+        heap = [(draw.randrange(2_000_000), n) for n in range(nodes)]
+        heapq.heapify(heap)
+        last = 0
+        while heap:
+            now, n = heapq.heappop(heap)
+            ready = desk.ask(now, n)
+            if ready is None:
+                heapq.heappush(heap, (now + asking[n].ended(False, False, True), n))
+            else:
+                last = max(last, ready)
+        lasts.append(last / 1e6)
+        calls.append(len(desk.asked) / nodes)
+    limit = nodes / 7
+    assert sorted(lasts)[2] < 1.75 * limit, lasts
+    assert max(calls) < 2.2, calls
+
+
+def test_one_alone_that_is_turned_away_asks_again_at_once() -> None:
+    pauses = [Asking(1, random.Random(seed)).ended(False, False, True) for seed in range(50)]
+    assert max(pauses) <= UNHEARD_PAUSE
