Judge nothing but the footprint while the fleet is in trouble, and a harm only if it lasts a look

Change: no look in a trouble; a figure must be found worse at two looks running, or at the last one. That stops a subset of what it stopped, so the rate stated holds. State tells what the last look found.

--- a/heronstall/rollout/machine.py
+++ b/heronstall/rollout/machine.py
@@ -281,14 +281,17 @@
                 self._memory[name].append((snapshot.at, float(snapshot.rows["memory_kb"])))
         elapsed, whole = seen.at - state.watch_at, plan.watch_of(state.stage)
         due = min(LOOKS, int(elapsed * LOOKS / whole))
-        if state.paused or due <= state.looks:
+        if state.paused or state.trouble or due <= state.looks:
             return []
         judge, found = self._found(seen)
         last = due >= LOOKS
         alpha = sum(spend(budget(plan, state.attempt), k) for k in range(state.looks + 1, due + 1))
         look = judge.look(found, state.changed, alpha)
         leaks = leak(self._memory, set(state.changed), alpha, plan.harm["leak_kb_s"])
-        harm = [f.text() for f in look.bad] + [f"{name} leaks memory" for name in leaks]
+        # A burst of a few seconds passes the test that it makes alone; harm is there at the next look, too.
+        before = state.bad_before
+        lasting = [f for f in look.bad if last or (f.figure, f.zone) in before]
+        harm = [f.text() for f in lasting] + [f"{name} leaks memory" for name in leaks]
         if last and look.short and not harm and elapsed < plan.longest:
             return []  # undecided: the last look waits for jobs
         record = _look_record(
--- a/heronstall/rollout/state.py
+++ b/heronstall/rollout/state.py
@@ -97,6 +97,11 @@
         """Never asked to change."""
         return [name for name in self.homes if name not in self.order]
 
+    @property
+    def bad_before(self) -> set[tuple[str, str]]:
+        """Figures and zones that the last look of this watch found worse than is tolerable."""
+        return {(row[0], row[1]) for row in self.last_look.get("findings", []) if row[5]}
+
     @property
     def over(self) -> bool:
         """Whether nothing more will be done."""
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -361,6 +361,10 @@
     out = carry(Plant(), None, 5, trouble)
     assert out.by in ("", "trouble"), out
     assert "trouble" in [r["kind"] for r in out.records] or out.phase == "done"
+    troubled = False
+    for r in out.records:  # what comes in a trouble counts for nothing but the footprint
+        troubled = r["kind"] == "trouble" or (troubled and r["kind"] != "calm")
+        assert not troubled or r["kind"] != "look" or r.get("foot"), r
 
 
 def test_a_trouble_that_does_not_pass_sends_back_and_says_that_it_could_not_tell() -> None:
