--- a/heronstall/start/asking.py
+++ b/heronstall/start/asking.py
@@ -7,7 +7,7 @@
 PAUSE, LONGEST_PAUSE = 100_000, 2_000_000  # microseconds between attempts at a new watch
 UNHEARD_PAUSE = 200_000  # the longest at an address that has yet to answer: news from there is overdue
 TURNED_AWAY = 100_000  # times the number of dispatchers: the time over which those turned away spread
-SOONEST, LATEST = 0.02, 1.5  # of that time
+SOONEST, LATEST = 0.5, 1.5  # of that time; sooner made the days at size worse (docs/design/cold-start.md)
 
 
 class Asking:
@@ -30,5 +30,5 @@
             return self._pause
         # It has more to do than it can. All dispatchers lose their watches, or restart, at one moment: asking
         # again at one pace they keep it down for good. So they ask so rarely that together they are few a
-        # second, each at moments of its own. They begin at once: while all of them wait, it gives no lists.
+        # second, each at moments of its own.
         return max(self._pause, int(self._apart * self._draw.uniform(SOONEST, LATEST)))
