Say once what rollouts, keepers and the lab said twice; one timer for the next arrival

Need: read once more. Written twice: reading a process's start from /proc (keeper/processes.py and lab/kept.py), host:port (keeper/calls.py beside config.address), the constructor of Nodes (KeptNodes), a relay kept per link (World beside Faults.link), setting a fault's values and taking them back, the end of a rollout that goes through and the command line's calls in the stories. Derivable: Machine.new. Done twice: after a surge two chains of timers looked for each arrival to the run's end.

Change: each stands once; Faults.link keeps its relays, starts counts in one pass, Desk.ask without nesting.

--- a/heronstall/fleet/desk.py
+++ b/heronstall/fleet/desk.py
@@ -32,11 +32,10 @@
         while self._ends and self._ends[0] <= now:
             self._ends.popleft()
         ready: int | None = now
-        if self._each:
-            if len(self._ends) >= self._places:
-                ready = None
-            else:
-                self._ends.append(max(now, self._ends[-1] if self._ends else 0.0) + self._each)
-                ready = round(self._ends[-1])
+        if self._each and len(self._ends) >= self._places:
+            ready = None
+        elif self._each:
+            self._ends.append(max(now, self._ends[-1] if self._ends else 0.0) + self._each)
+            ready = round(self._ends[-1])
         self.asked.append(Asked(now, node, ready))
         return ready
--- a/heronstall/keeper/calls.py
+++ b/heronstall/keeper/calls.py
@@ -11,6 +11,9 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
+from heronstall import config
+from heronstall.config import ConfigError
+
 LINE = 4096  # bytes of a call at the most
 REPLY = 16 * 1024 * 1024
 CALL_TIME = 6.0  # seconds for a call to come whole
@@ -47,10 +50,10 @@
 
 def address(text: str) -> tuple[str, int]:
     """Host and port. Raises CallError."""
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal() or int(port) > 65535:
-        raise CallError(f"{text!r} is not host:port")
-    return host.strip("[]"), int(port)
+    try:
+        return config.address(text, "address")
+    except ConfigError:
+        raise CallError(f"{text!r} is not host:port") from None
 
 
 async def call(to: str, line: str, longest: float) -> Reply:
--- a/heronstall/keeper/controller.py
+++ b/heronstall/keeper/controller.py
@@ -25,6 +25,7 @@
 from heronstall.rollout.journal import JournalError, Record
 from heronstall.rollout.machine import Machine, Seen, Sight, tell
 from heronstall.rollout.plan import Home, Plan, stages
+from heronstall.rollout.state import State
 
 CALL_TIME, CHECK_TIME = 3.0, 90.0  # seconds that a keeper may take
 WORDS = ("PAUSE", "RESUME", "BACK")
@@ -260,7 +261,7 @@
         return no("such call")
 
 
-def status(state: Any) -> dict[str, str]:
+def status(state: State) -> dict[str, str]:
     """Where a rollout stands, for STATUS and `--json`."""
     made = {"rollout": json.dumps(" | ".join(line.strip() for line in tell(state)))}
     for key in ("phase", "release", "epoch", "stage", "paused", "held", "trouble", "reason"):
--- a/heronstall/keeper/place.py
+++ b/heronstall/keeper/place.py
@@ -240,7 +240,7 @@
             made.append((kind, {"d": self.name, **fields}))
 
         put("state", state={k: getattr(self, k) for k in KEPT})
-        for process in [*self.leaving, *(p for p in (self.main, self.coming) if p is not None)]:
+        for process in self.processes:
             put("process", seat=self._seat(process), process=vars(process).copy())
         return made
 
--- a/heronstall/keeper/processes.py
+++ b/heronstall/keeper/processes.py
@@ -7,7 +7,7 @@
 import os
 import signal
 import subprocess
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from pathlib import Path
 
 from heronstall.keeper.place import Fault
@@ -50,19 +50,25 @@
     """The process that bears a mark, looked for under `pid` first; 0 where none lives."""
     if pid and _bears(pid, token):
         return pid
-    for entry in PROC.iterdir():
-        if entry.name.isdecimal() and _bears(int(entry.name), token):
-            return int(entry.name)
-    return 0
+    return next((one for one in pids() if _bears(one, token)), 0)
 
 
-def _bears(pid: int, token: str) -> bool:
+def pids() -> Iterator[int]:
+    """All that the system tells of, those that have just ended too."""
+    return (int(entry.name) for entry in PROC.iterdir() if entry.name.isdecimal())
+
+
+def marks(pid: int) -> list[bytes]:
+    """What a process was started with, `NAME=value` each; none for one that has ended or is not ours."""
     try:
         state = (PROC / str(pid) / "stat").read_text().rsplit(") ", 1)[1][0]
-        marks = (PROC / str(pid) / "environ").read_bytes().split(b"\0")
+        return [] if state in "ZX" else (PROC / str(pid) / "environ").read_bytes().split(b"\0")
     except (OSError, IndexError):
-        return False
-    return state not in "ZX" and f"{KEPT}={token}".encode() in marks
+        return []
+
+
+def _bears(pid: int, token: str) -> bool:
+    return f"{KEPT}={token}".encode() in marks(pid)
 
 
 def tell(pid: int, number: int) -> None:
--- a/heronstall/lab/faults.py
+++ b/heronstall/lab/faults.py
@@ -53,8 +53,9 @@
         """The address to use in the place of `target`: a relay's where a fault is about this link."""
         if not self.concerns(name):
             return target
-        host, _, port = target.rpartition(":")
-        self.relays[name] = Relay((host, int(port)), self._seed + len(self.relays))
+        if name not in self.relays:
+            host, _, port = target.rpartition(":")
+            self.relays[name] = Relay((host, int(port)), self._seed + len(self.relays))
         return self.relays[name].address
 
     def begin(self, pids: Callable[[str], list[int]]) -> None:
@@ -93,7 +94,7 @@
                 relay.door("refuse")
                 self._did(n, 1)
             else:
-                self._set(fault, ways)
+                self._set(fault, ways, True)
                 self._ways.setdefault(n, []).extend(
                     (way, "silence" if fault.do == "cut" else fault.do) for way in ways
                 )
@@ -104,30 +105,23 @@
             asyncio.get_running_loop().call_later(fault.length / SECOND, self._lift, fault)
 
     @staticmethod
-    def _set(fault: Fault, ways: list[Way]) -> None:
+    def _set(fault: Fault, ways: Iterable[Way], on: bool) -> None:
+        size, jitter = (fault.size, fault.jitter) if on else (0.0, 0.0)
         for way in ways:
             if fault.do == "delay":
-                way.delay, way.jitter = fault.size / 1000, fault.jitter / 1000
+                way.delay, way.jitter = size / 1000, jitter / 1000
             elif fault.do == "rate":
-                way.rate = fault.size
+                way.rate = size
             elif fault.do == "garble":
-                way.garble = fault.size
-            else:
-                way.silence(True)
+                way.garble = size
+            elif fault.do in ("silence", "cut"):
+                way.silence(on)
 
     def _lift(self, fault: Fault) -> None:
         for relay in self._matching(fault.link):
             if fault.do in ("refuse", "cut"):
                 relay.door("open")
-            for way in (relay.way(d) for d in _directions(fault)):
-                if fault.do == "delay":
-                    way.delay = way.jitter = 0.0
-                elif fault.do == "rate":
-                    way.rate = 0.0
-                elif fault.do == "garble":
-                    way.garble = 0.0
-                elif fault.do in ("silence", "cut"):
-                    way.silence(False)
+            self._set(fault, (relay.way(d) for d in _directions(fault)), False)
 
     # ------------------------------------------------------------------ processes
 
--- a/heronstall/lab/kept.py
+++ b/heronstall/lab/kept.py
@@ -13,9 +13,11 @@
 
 from heronstall.fleet import boundary as b
 from heronstall.fleet.fleet import Plan
+from heronstall.keeper import processes
+from heronstall.keeper.release import KEPT
 from heronstall.lab.clock import RealTime
 from heronstall.lab.faults import Faults
-from heronstall.lab.nodes import DEFAULT, LabError, Node, Nodes, free_net
+from heronstall.lab.nodes import LabError, Node, Nodes, free_net
 
 KEEPER_PORT = 8090
 DOORS = (8082, 8083)
@@ -43,14 +45,12 @@
         plan: Plan,
         time: RealTime,
         folder: Path,
-        discovery: list[str],
-        program: tuple[str, ...] = DEFAULT,
-        settings: Path | None = None,
-        *,
+        *told: Any,
         keepers: int = 3,
         limits: dict[str, Any] | None = None,
     ) -> None:
-        super().__init__(plan, time, folder, discovery, program, settings)
+        """`told` is what `Nodes` wants beside these."""
+        super().__init__(plan, time, folder, *told)
         self.work = folder
         self._limits = {"yes_s": 8, "end_s": 8, "pause_s": 0.2, **(limits or {})}
         self._zones = [zone.name for zone in plan.scenario.zones for _ in range(zone.dispatchers)]
@@ -58,7 +58,7 @@
         self.keepers = [Keeping(f"k{n}", hosts[n], folder / f"k{n}" / "keeper.cue") for n in range(keepers)]
         self.operator = folder / "operator.json"
         self.operator.write_text(json.dumps(DETAIL), encoding="utf-8")
-        self.first_run = program[1:]
+        self.first_run = self._program[1:]
         self.first = self.release("old", self.first_run)
         self._written = 0
 
@@ -167,16 +167,12 @@
     def marked(self) -> list[tuple[int, dict[str, Any]]]:
         """Every living process that a keeper of this run has started, and its configuration."""
         found = []
-        for entry in Path("/proc").iterdir():
-            if entry.name.isdecimal():
-                with contextlib.suppress(OSError, ValueError, IndexError):
-                    if (entry / "stat").read_text().rsplit(") ", 1)[1][0] in "ZX":
-                        continue
-                    rows = (entry / "environ").read_bytes().split(b"\0")
-                    told = dict(row.split(b"=", 1) for row in rows if b"=" in row)
-                    path = told.get(b"NODE_CONFIG", b"").decode()
-                    if path.startswith(str(self.work)) and b"HERONSTALL_KEPT" in told:
-                        found.append((int(entry.name), json.loads(Path(path).read_text(encoding="utf-8"))))
+        for pid in processes.pids():
+            told = dict(row.split(b"=", 1) for row in processes.marks(pid) if b"=" in row)
+            path = told.get(b"NODE_CONFIG", b"").decode(errors="replace")
+            if path.startswith(str(self.work)) and KEPT.encode() in told:
+                with contextlib.suppress(OSError, ValueError):
+                    found.append((pid, json.loads(Path(path).read_text(encoding="utf-8"))))
         return found
 
     async def end(self) -> None:
@@ -249,6 +245,11 @@
         except FileNotFoundError:
             return []
 
+    @property
+    def digest(self) -> str:
+        """Of the release that it carries, as its first record says."""
+        return str(self.records()[0]["release"]).partition("@")[2]
+
     def kinds(self) -> list[str]:
         """Of its records, in order."""
         return [record["kind"] for record in self.records()]
--- a/heronstall/lab/load.py
+++ b/heronstall/lab/load.py
@@ -22,6 +22,7 @@
 from heronstall.fleet.spec import SECOND, Scenario
 from heronstall.lab.clock import RealTime, lateness
 from heronstall.lab.pipe import end, listen
+from heronstall.model.kernel import Due
 
 CROSSED = 50_000  # a close so soon after a request, on a connection used before, counts as crossing it
 PATIENCE = 250_000  # beyond deadline and grace, so that an answer that is too late is seen as such
@@ -54,6 +55,7 @@
         self._idle: dict[int, list[ClientConnection]] = {}
         self._next = 0
         self._surge = (0, 0, 1.0)  # from, to, how many times as fast
+        self._arrival: Due | None = None  # when the next one is looked for
 
     def message(self, what: str, value: Any) -> None:
         """A word from the run's process."""
@@ -77,6 +79,8 @@
             self._pipe.send(("load", (self.crossings, self.ends, lateness(self.time.late), self.open)))
 
     def _arrivals(self) -> None:
+        if self._arrival is not None:
+            self._arrival.cancel()
         now = self.time.now
         start, end, times = self._surge
         ahead = int((min(now, end) - start) * (times - 1))
@@ -86,7 +90,8 @@
             self.begin(self.plan.callers.first(replace(request, at=now) if ahead else request))
         if self._next < len(self.mine):
             wait = self.mine[self._next].at - ahead - now
-            self.time.at(now + max(1, int(wait / times) if now < end else wait), self._arrivals)
+            wait = max(1, int(wait / times) if now < end else wait)
+            self._arrival = self.time.at(now + wait, self._arrivals)
 
     def begin(self, tried: Try) -> None:
         """Start a try."""
--- a/heronstall/lab/starts.py
+++ b/heronstall/lab/starts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Hashable, Iterable, Sequence
 from typing import Any
 
 from heronstall.fleet import boundary as b
@@ -36,18 +36,15 @@
         "dispatchers": len(ups),
         "calls": len(calls),
         "turned_away": sum(row.answered is None for row in calls),
-        "calls_worst_s": _worst(row.at for row in calls),
+        "calls_worst_s": _most(row.at // SECOND for row in calls),
         "news_s": sorted(round((at - first) / SECOND, 3) for at in news.values()),
         "unheard": len(ups) - len(news),
         "connects": len(connects),
-        "connects_worst_s": _worst(at for at, _ in connects),
-        "connects_worst_s_one": max(
-            (_worst(at for at, one in connects if one == server) for server in {s for _, s in connects}),
-            default=0,
-        ),
+        "connects_worst_s": _most(at // SECOND for at, _ in connects),
+        "connects_worst_s_one": _most((at // SECOND, server) for at, server in connects),
     }
 
 
-def _worst(moments: Iterable[int]) -> int:
-    """The most that any second of the clock had."""
-    return max(Counter(at // SECOND for at in moments).values(), default=0)
+def _most(seconds: Iterable[Hashable]) -> int:
+    """How often the one that came most often came: seconds of the clock, or those of a server."""
+    return max(Counter(seconds).values(), default=0)
--- a/heronstall/lab/world.py
+++ b/heronstall/lab/world.py
@@ -46,7 +46,6 @@
         self._listeners: dict[tuple[int, int], Listener] = {}
         self._connections: dict[ServerConnection, None] = {}
         self._zones = zones(self.plan)[0]
-        self._through: dict[str, str] = {}  # the addresses of links, a relay's where a fault is about them
         self.faults = Faults(mine(scenario.faults, True), seed, self.time.at)
         self.fleet = Fleet(scenario, seed, self.time, self._endpoint, self)
         self.ways = self.fleet.ways
@@ -68,11 +67,7 @@
             self._numbers[try_id(request.number, 0)] = request.number
 
     def _endpoint(self, node: int, server: Server) -> str:
-        address = self._listeners[node, server.number].address
-        name = f"n{node}>s{server.number}"
-        if name not in self._through:
-            self._through[name] = self.faults.link(name, address)
-        return self._through[name]
+        return self.faults.link(f"n{node}>s{server.number}", self._listeners[node, server.number].address)
 
     def _accepts(self, node: int, server: Server) -> Callable[[socket.socket], None]:
         def make() -> ServerConnection:
--- a/heronstall/rollout/figures.py
+++ b/heronstall/rollout/figures.py
@@ -174,8 +174,8 @@
     if worth_alone:
         return made
     if taken >= FEW and asked > 0:
-        for name, key in (("attempts", "attempts"), ("connects", "connects"), ("probes", "probes")):
-            count = gained(key)
+        for name in ("attempts", "connects", "probes"):
+            count = gained(name)
             if count is not None:
                 made[name] = Point(math.log((count + 1) / (taken + 1)), max(1.0, min(taken, count + 1)))
         cpu = gained("cpu_us")
--- a/heronstall/rollout/machine.py
+++ b/heronstall/rollout/machine.py
@@ -76,7 +76,6 @@
     def __init__(self, plan: Plan, records: list[Record]) -> None:
         self.plan = plan
         self.state = State.of(records)
-        self.new = self.state.release.rpartition("@")[2]
         self._series: list[dict[str, Snapshot]] = []  # of the time before
         self._judge: Judge | None = None
         self._weather: Weather | None = None
@@ -91,8 +90,11 @@
         self.state.apply(record)
         if record["kind"] in ("watch", "stage", "lost", "calm", "resume"):
             self._memory.clear()
-        if record["kind"] == "begin":
-            self.new = self.state.release.rpartition("@")[2]
+
+    @property
+    def new(self) -> str:
+        """The digest of the release that is carried through."""
+        return self.state.release.rpartition("@")[2]
 
     def wanted(self) -> dict[str, str]:
         """The release (digest) that each dispatcher is to be brought to now; the others are left alone."""
--- a/tests/stories.py
+++ b/tests/stories.py
@@ -199,6 +199,22 @@
     return why
 
 
+async def through(story: Story, rollout: Rollout) -> None:
+    """A rollout that was begun reaches its end; everybody runs the new release."""
+    assert await rollout.end(LONGEST) == 0, rollout.kinds()
+    await story.runs(rollout.digest)
+
+
+async def say(*words: str, code: int = 0, longest: float = 40) -> str:
+    """What the command line says to a person."""
+    process = await asyncio.create_subprocess_exec(
+        *CLI, *words, cwd=ROOT, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT
+    )
+    out = (await asyncio.wait_for(process.communicate(), longest))[0].decode()
+    assert process.returncode == code, (words, process.returncode, out)
+    return out
+
+
 # ---------------------------------------------------------------------- versions
 
 
@@ -208,9 +224,7 @@
         rollout = story.plan(story.version("good"))
         before = story.processes()
         await rollout.start()
-        assert await rollout.end(LONGEST) == 0, rollout.kinds()
-        digest = rollout.records()[0]["release"].partition("@")[2]
-        await story.runs(digest)
+        await through(story, rollout)
         assert not before & story.processes()
     story.served_all()
 
@@ -225,7 +239,7 @@
         await rollout.start()
         assert await rollout.end(LONGEST) == 0, rollout.kinds()
         assert story.pids() == before
-        await story.runs(rollout.records()[0]["release"].partition("@")[2])
+        await story.runs(rollout.digest)
     story.served_all()
 
 
@@ -338,7 +352,7 @@
         assert await plan.end(LONGEST) == 0, plan.records()[-1]
         assert "trouble" in plan.kinds(), plan.kinds()
         assert "back" not in plan.kinds()
-        await story.runs(plan.records()[0]["release"].partition("@")[2])
+        await story.runs(plan.digest)
     story.lost_none()
 
 
@@ -370,7 +384,7 @@
         steps = len([kind for kind in kinds if kind != "epoch"])
         assert kinds[-1] == "done" and lives >= steps, (lives, kinds)
         assert kinds.count("change") == kinds.count("changed") == 6, kinds
-        await story.runs(rollout.records()[0]["release"].partition("@")[2])
+        await story.runs(rollout.digest)
     story.served_all()
 
 
@@ -405,7 +419,7 @@
         await rollout.start()
         await rollout.until("baseline")
         assert await dying_to_the_end(story, rollout, 8) == 0, rollout.kinds()
-        await story.runs(rollout.records()[0]["release"].partition("@")[2])
+        await story.runs(rollout.digest)
     story.served_all()
 
 
@@ -421,21 +435,13 @@
         rollout = story.plan(story.version("good"), **more)
         await rollout.start()
         await rollout.until("watch")
-        await say_back(rollout)
+        await say("rollout", "back", str(rollout.file), longest=20)
         assert await dying_to_the_end(story, rollout, 5) == 3, rollout.kinds()
         assert rollout.kinds().count("returned") == 5, rollout.kinds()
         await story.runs(story.old)
     story.served_all()
 
 
-async def say_back(rollout: Rollout) -> None:
-    """All back, by the command line."""
-    process = await asyncio.create_subprocess_exec(
-        *CLI, "rollout", "back", str(rollout.file), cwd=ROOT, stdout=asyncio.subprocess.DEVNULL
-    )
-    assert await asyncio.wait_for(process.wait(), 20) == 0
-
-
 async def dying_to_the_end(story: Story, rollout: Rollout, least: int) -> int:
     """From now on every keeper dies after each of its records, `least` times at least; the rollout's code."""
     done = asyncio.Event()
@@ -480,8 +486,7 @@
             keeper.process.send_signal(signal.SIGTERM)
             await keeper.process.wait()
             await story.nodes.start_keeper(keeper)
-        assert await rollout.end(LONGEST) == 0, rollout.kinds()
-        await story.runs(rollout.records()[0]["release"].partition("@")[2])
+        await through(story, rollout)
     story.served_all()
 
 
@@ -500,8 +505,7 @@
         second.journal = copy / "r.journal"
         await second.start()
         assert await first.end(LONGEST) == 5, first.kinds()
-        assert await second.end(LONGEST) == 0, second.kinds()
-        await story.runs(second.records()[0]["release"].partition("@")[2])
+        await through(story, second)
     story.served_all()
 
 
@@ -529,8 +533,7 @@
         name = next(r["dispatcher"] for r in rollout.records() if r["kind"] == "changed")
         os.kill(story.pids()[name], signal.SIGKILL)
         await rollout.until("lost")
-        assert await rollout.end(LONGEST) == 0, rollout.kinds()
-        await story.runs(rollout.records()[0]["release"].partition("@")[2])
+        await through(story, rollout)
 
 
 # ---------------------------------------------------------------------- links
@@ -546,8 +549,7 @@
     async with Story(cuts) as story:
         rollout = story.plan(story.version("good"))
         await rollout.start()
-        assert await rollout.end(LONGEST) == 0, rollout.kinds()
-        await story.runs(rollout.records()[0]["release"].partition("@")[2])
+        await through(story, rollout)
     story.served_all()
 
 
@@ -567,7 +569,7 @@
         assert await rollout.end(LONGEST) == 0, rollout.kinds()
         kinds = rollout.kinds()
         assert kinds.count("change") == kinds.count("changed") == 6, kinds
-        await story.runs(rollout.records()[0]["release"].partition("@")[2])
+        await story.runs(rollout.digest)
     story.served_all()
 
 
@@ -604,7 +606,7 @@
         rollout = story.plan(story.version("good"), stages=[{"part": 1}])
         await rollout.start()
         await rollout.until("changed", 2)
-        await say_back(rollout)
+        await say("rollout", "back", str(rollout.file), longest=20)
         assert await rollout.end(LONGEST) == 3, rollout.kinds()
         await story.runs(story.old)
         found = await story.info()
@@ -628,14 +630,6 @@
 async def command_line() -> None:
     """Each verb as a person says it: check, start, pause, status, watch, resume, report."""
 
-    async def say(*words: str, code: int = 0) -> str:
-        process = await asyncio.create_subprocess_exec(
-            *CLI, *words, cwd=ROOT, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT
-        )
-        out = (await asyncio.wait_for(process.communicate(), 40))[0].decode()
-        assert process.returncode == code, (words, process.returncode, out)
-        return out
-
     async with Story() as story:
         rollout = story.plan(story.version("good"), watch_s=5)
         file = str(rollout.file)
@@ -668,7 +662,7 @@
         rollout = story.plan(story.version("writes"), stages=[{"part": 1}], watch_s=20)
         await rollout.start()
         await rollout.until("watch")
-        await say_back(rollout)
+        await say("rollout", "back", str(rollout.file), longest=20)
         assert await rollout.end(LONGEST) == 3, rollout.kinds()
         await story.runs(story.old)
         logs = "".join(path.read_text() for path in story.work.glob("k*/state/n*.log"))
