--- a/heronstall/net/server_table.py
+++ b/heronstall/net/server_table.py
@@ -9,13 +9,13 @@
 from zlib import crc32
 
 import h11
-import ujson
 
 from heronstall import events
 from heronstall import interface as i
 from heronstall.config import Address, Config, ConfigError, address
 from heronstall.events import say
-from heronstall.net.connection import Connection, Ended, Ending, Lines, connect
+from heronstall.net.connection import Connection, Ended, Ending, connect
+from heronstall.net.json_stream import JsonStream
 from heronstall.net.loop import Coroutine, Loop, Task, sleep
 from heronstall.ops.bans import Bans
 from heronstall.start.asking import Asking
@@ -117,10 +117,11 @@
 class _Watch:
     """A watch on one discovery: how far it has told, and the coroutine that keeps it up."""
 
-    __slots__ = ("discovery", "rev", "after", "heard", "task", "late", "retry_after")
+    __slots__ = ("discovery", "rev", "newest", "after", "heard", "task", "late", "retry_after")
 
     def __init__(self, discovery: Address, rev: int | None) -> None:
         self.discovery, self.rev = discovery, rev
+        self.newest = rev  # the highest revision that was taken from it
         self.after = rev  # up to where discovery itself has told
         self.heard = False
         self.task: Task | None = None
@@ -339,9 +340,14 @@
 
     def _listen(self, watch: _Watch, connection: Connection, relay: Address | None) -> Coroutine[None]:
         silence = SILENCE if relay is None else RELAY_SILENCE
-        lines = Lines(TABLE_LINE)
+        stream = JsonStream(TABLE_LINE)
         while True:
-            event = yield from connection.event(self._loop.now + silence)
+            try:
+                event = yield from connection.event(self._loop.now + silence)
+            except Ended as ended:
+                if stream.inside and ended.ending is Ending.TIMED_OUT:
+                    raise Ended(Ending.MALFORMED, "the list was cut") from None
+                raise
             if isinstance(event, h11.Response):
                 if event.status_code != 200:
                     watch.retry_after = _retry_after(event)
@@ -350,11 +356,7 @@
             elif isinstance(event, h11.Data):
                 if self.sources is not None and relay is None:
                     self._hear(watch, None, None)
-                for line in lines.feed(event.data):
-                    try:
-                        message = ujson.loads(line)
-                    except ValueError:
-                        raise Ended(Ending.MALFORMED, f"not JSON: {line[:80]!r}") from None
+                for message in stream.feed(bytes(event.data)):
                     self._hear(watch, message, relay)
             elif isinstance(event, (h11.EndOfMessage, h11.ConnectionClosed)):
                 raise Ended(Ending.CLOSED)
@@ -362,7 +364,8 @@
     def _hear(self, watch: _Watch, message: Any, relay: Address | None) -> None:
         """A message has come, or a sign of life. Raises Ended for a malformed one."""
         if self.sources is None:
-            watch.rev = watch.after = self.take(message)
+            watch.rev = watch.after = self.take(message, newest=watch.newest)
+            watch.newest = max(watch.rev, watch.newest or 0)
         else:
             try:
                 rev = 0 if message is None else int(message["rev"])
@@ -387,11 +390,15 @@
                 self._former.task.kill()
             self._former = None
 
-    def take(self, message: Any, persisted: bool = False, relayed: bool = False) -> int:
+    def take(
+        self, message: Any, persisted: bool = False, relayed: bool = False, newest: int | None = None
+    ) -> int:
         """One list; its revision. Raises Ended for a malformed one, of which nothing counts.
 
         `relayed`: it was told to another dispatcher. An endpoint is told to each for itself, so that of a
         server not known here is of no use, unless the operator's file says that they are the same.
+        `newest`: the highest revision that the same list service has told. What is older adds servers and
+        takes them off, but brings none back that was told off: that news still counts as told.
         """
         try:
             rev, whole = int(message["rev"]), bool(message["all"])
@@ -431,6 +438,8 @@
                 # Guards against writing to the old process, or the old address, of a server that came back.
                 server.endpoint, server.boot_ms = endpoint, boot_ms
                 self.moved(server)
+            elif newest is not None and rev < newest and server.listed_off is not None and state == "active":
+                state, entry = server.entry.state, entry._replace(state=server.entry.state)
             if state == "active":
                 server.listed_off = None
             elif server.listed_off is None:
