Begin no attempt after its window or its client has gone, and close nothing over unread bytes

At fault: Dispatch._run, which wrote whatever Pool.take brought, be it a connect time-out after the decision. Change: Dispatcher.may_begin is asked right before an attempt's first byte: for the window of a keyed job, counted from the first attempt that was written and may have run, and for its client's connection itself (POLLRDHUP).

--- a/heronstall/__main__.py
+++ b/heronstall/__main__.py
@@ -152,11 +152,17 @@
         while True:
             yield waker.fileno(), READ, None
             for number in waker.recv(64):
-                if number == signal.SIGHUP:
-                    self.reload(os.environ)
-                elif number in ENDS:
-                    say(log, events.DRAINING, signal=signal.Signals(number).name)
-                    self._leave()
+                try:
+                    self._signal(number)
+                except Exception:  # guards the next signal: without it SIGTERM would never be heard
+                    say(log, events.UNEXPECTED, where=f"carrying out signal {number}")
+
+    def _signal(self, number: int) -> None:
+        if number == signal.SIGHUP:
+            self.reload(os.environ)
+        elif number in ENDS:
+            say(log, events.DRAINING, signal=signal.Signals(number).name)
+            self._leave()
 
     def reload(self, environ: Mapping[str, str]) -> None:
         """Read the configuration again; a wrong one changes nothing."""
--- a/heronstall/net/backend.py
+++ b/heronstall/net/backend.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import math
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
@@ -14,7 +13,7 @@
 from heronstall import interface as i
 from heronstall.config import Address, Config
 from heronstall.events import say
-from heronstall.net.connection import BODY_LIMIT, Connection, Ended, Ending, Lines, connect
+from heronstall.net.connection import BODY_LIMIT, Connection, Ended, Ending, Lines, connect, shut_writing
 from heronstall.net.dispatcher import Dispatcher, Session
 from heronstall.net.loop import Coroutine, Loop, Task
 from heronstall.net.server_table import BackendServer
@@ -25,6 +24,9 @@
 STALE_TIME = 100_000  # a connection that was dead already breaks within so long of a request
 KEEP_AGAIN = 30_000_000
 PROBE_TIME, PROBES_AT_ONCE = 500_000, 64
+# From an answer's end to the next request on its connection. Guards that request against a second answer
+# that comes some milliseconds late: one that refuses bears no id and would be taken for the answer to it.
+SETTLE_TIME = 20_000
 OFF_MARGIN = 50_000  # a first byte leaves clearly before the drain grace is over
 LINE = 2 * BODY_LIMIT  # a result and what is round it
 log = logging.getLogger("heronstall.backend")
@@ -106,11 +108,16 @@
 
     def _reuse(self, server: BackendServer) -> Connection | None:
         idle = self._idle.get(server.number, [])
-        while idle:
-            connection = idle.pop()
-            if self._loop.now - connection.idle_since < self._keep and connection.fresh():
-                return connection
-            self.close(connection)
+        settled = self._loop.now - SETTLE_TIME
+        at = len(idle) - 1
+        while at >= 0:  # from the one used last, past those that have only just been given back
+            connection = idle[at]
+            if connection.idle_since <= settled:
+                del idle[at]
+                if self._loop.now - connection.idle_since < self._keep and connection.fresh():
+                    return connection
+                self.close(connection)
+            at -= 1
         return None
 
     def _fresh(self, server: BackendServer, until: int) -> Coroutine[Connection]:
@@ -136,6 +143,8 @@
         """Keep a connection whose exchange is over, if it can serve again."""
         parser = connection.parser
         whole = parser.our_state is h11.DONE and parser.their_state is h11.DONE
+        # Guards the next request against bytes behind this answer: they would be read as the answer to it.
+        whole = whole and not parser.trailing_data[0] and not len(connection.buffer)
         full = len(self._open) > self._limit
         if full or not whole or self._open.get(connection) != (server.endpoint, server.boot_ms):
             self.close(connection)
@@ -145,8 +154,13 @@
         self._idle.setdefault(server.number, []).append(connection)
 
     def close(self, connection: Connection) -> None:
-        """Close a connection that was taken."""
+        """Close a connection that was taken.
+
+        The far end is told at once, though the descriptor is held to the end of the batch. Guards the rule
+        on second copies: what follows from this end may be written to another server within the same batch.
+        """
         self._open.pop(connection, None)
+        shut_writing(connection.sock)
         connection.close()
 
     def first_word(self, connection: Connection, until: int) -> Coroutine[h11.Response]:
@@ -289,17 +303,19 @@
             )
 
     def _run(self) -> Coroutine[None]:
-        pool = self._backend.pool
+        pool, dispatcher, session = self._backend.pool, self._backend.dispatcher, self._session
         connection: Connection | None = None
         ending = Ending.CRASHED
         try:
-            connection = yield from pool.take(self._server, self._until)
-            guard = self._backend.dispatcher.guard
-            if guard is not None:
-                yield from guard.may_write(self._session, self._task, self._until)
+            begin_by = min(self._until, dispatcher.begin_by(session))
+            connection = yield from pool.take(self._server, begin_by)
+            if dispatcher.guard is not None:
+                yield from dispatcher.guard.may_write(session, self._task, begin_by)
                 pool.still(self._server)
+            self._check_still_wanted()
+            dispatcher.begins(session, self._index)
             yield from connection.write(self._request(connection), self._until)
-            self._backend.dispatcher.written()
+            dispatcher.written()
             response = yield from pool.first_word(connection, self._until)
             ending = yield from self._answer(connection, response)
             self._end(ending)
@@ -317,6 +333,11 @@
                 pool.close(connection)
         self._end(ending)
 
+    def _check_still_wanted(self) -> None:
+        """Raise Ended where this attempt may not begin any more."""
+        if not self._backend.dispatcher.may_begin(self._session):
+            raise Ended(Ending.WITHDRAWN, "its client has left, or its time to begin is over")
+
     def _request(self, connection: Connection) -> bytes:
         job: Job = self._session.job
         wait = max(0, self._until - self._loop.now) / 1e6
@@ -366,6 +387,8 @@
             state, whose = told["state"], told["id"]
         except (ValueError, TypeError, KeyError):
             raise Ended(Ending.MALFORMED, f"not a job's line: {line[:80]!r}") from None
+        if not isinstance(state, str):
+            raise Ended(Ending.MALFORMED, f"a state that is no text: {line[:80]!r}")
         # Guards against handing a client what was made for another request.
         if whose != self._session.job.id:
             raise Ended(Ending.MALFORMED, f"a line about {whose!r} in answer to {self._session.job.id!r}")
@@ -375,7 +398,7 @@
             return None
         if state == "running":
             share = told.get("share")
-            good = isinstance(share, (int, float)) and math.isfinite(share)
+            good = isinstance(share, (int, float)) and 0 <= share <= 1
             dispatcher.note(self._session, self._server, self._index, float(share) if good else 0.0)
             return None
         if "load" in told:
@@ -384,7 +407,10 @@
             result = told.get("result")
             if result is None:
                 raise Ended(Ending.MALFORMED, "done without a result")
-            self._result = (result if isinstance(result, str) else ujson.dumps(result)).encode()
+            try:
+                self._result = (result if isinstance(result, str) else ujson.dumps(result)).encode()
+            except (ValueError, OverflowError):  # half a surrogate pair, or a figure beyond JSON
+                raise Ended(Ending.MALFORMED, f"a result that is no text: {line[:80]!r}") from None
             return Ending.SERVED
         return LAST_WORDS.get(state)  # a state that we do not know is passed over
 
--- a/heronstall/net/connection.py
+++ b/heronstall/net/connection.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import enum
+import select
 import socket
 from typing import Any
 
@@ -35,7 +36,7 @@
     TIMED_OUT = "no answer in time"
     UNSENT_IN_TIME = "time ran out before the request's last byte was written"
     CANCELLED = "called off"
-    WITHDRAWN = "not begun: the backend server drains or is gone, or no descriptor is left"
+    WITHDRAWN = "not begun: the backend server drains or is gone, nobody waits, or no descriptor is left"
     CRASHED = "an unexpected error of our own"
 
 
@@ -145,6 +146,12 @@
         """Close it, at the end of the batch in hand."""
         self.loop.close(self.sock)
 
+    def far_end_left(self) -> bool:
+        """Whether the far end has closed or reset the connection, whatever lies unread before that."""
+        poll = select.poll()
+        poll.register(self.sock, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
 
 class Connection(Stream):
     """A stream of HTTP, with its parser."""
@@ -234,11 +241,15 @@
 
 
 def connect(loop: Loop, to: Address, until: int, host: str = "") -> Coroutine[Connection]:
-    """Open a client's connection, from `host` where one is named. Raises Ended REFUSED when it does not come
-    up in time."""
-    sock = socket.socket(
-        socket.AF_INET6 if ":" in to[0] else socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK
-    )
+    """Open a client's connection, from `host` where one is named.
+
+    Raises Ended REFUSED when it does not come up in time, WITHDRAWN when no socket can be had here.
+    """
+    family = socket.AF_INET6 if ":" in to[0] else socket.AF_INET
+    try:
+        sock = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+    except OSError as none_left:  # no descriptor or memory: the far end has no part in that
+        raise Ended(Ending.WITHDRAWN, str(none_left)) from None
     done = False
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -264,9 +275,10 @@
 class Lines:
     """Splits a stream that comes in pieces into lines."""
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: int, blanks: bool = False) -> None:
         self._held = bytearray()
         self._limit = limit
+        self._blanks = blanks  # whether empty lines are told
 
     def feed(self, data: bytes) -> list[bytes]:
         """The lines that are whole now. Raises Ended MALFORMED for one that is too long."""
@@ -278,7 +290,7 @@
             self._held[:] = rest
         if len(self._held) > self._limit or any(len(line) > self._limit for line in whole):
             raise Ended(Ending.MALFORMED, f"a line of over {self._limit} bytes")
-        return [line for line in (part.strip() for part in whole) if line]
+        return [line for line in (part.strip() for part in whole) if line or self._blanks]
 
 
 def shut_writing(sock: socket.socket) -> None:
--- a/heronstall/net/dispatcher.py
+++ b/heronstall/net/dispatcher.py
@@ -128,7 +128,21 @@
 class Session:
     """One request of a client, from its last byte to its one final answer."""
 
-    __slots__ = ("number", "cls", "deadline", "arrival", "job", "reply", "over", "attempts", "open", "lent")
+    __slots__ = (
+        "number",
+        "cls",
+        "deadline",
+        "arrival",
+        "job",
+        "reply",
+        "over",
+        "attempts",
+        "open",
+        "lent",
+        "client_left",
+        "anchor",
+        "anchor_at",
+    )
 
     def __init__(
         self, number: int, arrival: i.Arrival, deadline: int, job: Any, reply: Callable[[Answer], None]
@@ -140,6 +154,9 @@
         self.lent = False  # the decisions are done with it, and its answer comes from elsewhere
         self.attempts = 0
         self.open: OpenDispatch | None = None
+        self.client_left: Callable[[], bool] = lambda: False  # asked of the client's connection itself
+        self.anchor: int | None = None  # the first attempt written that is not proved never to have run
+        self.anchor_at = 0  # when its first byte was written
 
 
 class Dispatcher:
@@ -156,6 +173,8 @@
         self.figures = Figures(config.classes)
         self.table: Table
         self.backend: Backend
+        self._windows = [c.repeat_window if c.effect == "keyed" else None for c in config.settings.classes]
+        self._window_margin = 2 * config.settings.tick  # as the decisions keep
         self.guard: Guard | None = None
         self.observers: list[Observer] = []  # each sees every turn of the decisions, and changes nothing
         loop.at(loop.now + REPORT_EVERY, self._report)
@@ -208,6 +227,28 @@
             self.post(i.ClientGone(session.number))
             self._forget(session)
 
+    def may_begin(self, session: Session) -> bool:
+        """Whether an attempt's first byte may be written now.
+
+        It was decided on a while ago: since then its client may have left, and the time in which a keyed
+        request may go again may have run out.
+        """
+        if not session.over and session.client_left():
+            self.client_gone(session)
+        return not session.over and self._loop.now < self.begin_by(session)
+
+    def begin_by(self, session: Session) -> int:
+        """The moment up to which a first byte may be written."""
+        window = self._windows[session.cls]
+        if session.anchor is None or window is None:
+            return session.deadline
+        return min(session.deadline, session.anchor_at + window - self._window_margin)
+
+    def begins(self, session: Session, index: int) -> None:
+        """An attempt's first byte is about to be written."""
+        if session.anchor is None:
+            session.anchor, session.anchor_at = index, self._loop.now
+
     def written(self) -> None:
         """An attempt's last byte has been written: from now on it may have run."""
         self.figures.forwarded()
@@ -229,6 +270,8 @@
         """The one end of a dispatch: it becomes one Outcome, and a result goes straight to the client."""
         self._counts[f"ending.{ending.name.lower()}"] += 1
         session.open = None
+        if session.anchor == index and OUTCOME[ending] in i.PROVES_NOT_RUN:
+            session.anchor = None
         if self.guard is not None:
             self.guard.ended(session, ending)
         if ending is Ending.SERVED:
--- a/heronstall/net/frontend.py
+++ b/heronstall/net/frontend.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import re
 import socket
@@ -39,6 +40,7 @@
 HAND_AGAIN = 10_000  # between looks at what an heir can be handed
 IDS_KEPT, IDS_TOLD = 8192, 1024  # of the latest requests; those that an heir is told
 SCRAP = bytearray(64 * 1024)  # what is read only to be thrown away
+READ_OFF = 4  # times that much at the most, before a close that cannot wait
 DEAF_TIME = 750_000  # after closing has begun, no new connection is taken any more
 QUIET_TIME = 300_000  # a connection that has idled for so long can go in a drain
 # SIGKILL comes no sooner after SIGTERM than the longest deadline, taken as 3 s where it is longer, and 0.7 s
@@ -208,11 +210,7 @@
         """Hand a connection to the heir if nothing of a request has been read from it; whether it has it."""
         if self._pass_on is None:
             return False
-        parser = connection.parser
-        between = (
-            parser.their_state is h11.IDLE and not parser.trailing_data[0] and not len(connection.buffer)
-        )
-        return between and self._pass_on(connection.sock, proven)
+        return _between(connection) and self._pass_on(connection.sock, proven)
 
     def _make_room(self) -> bool:
         """Close the connection that will be missed least; False where none can be spared.
@@ -221,30 +219,36 @@
         them waiting in the backlog, nor cost them the connections that they keep.
         """
         for connection in self._lingering:
+            _read_off(connection.sock)  # its answer may be on the way still, and a reset would overtake it
             self._clients[connection].kill()
             return True
         for row in (self._unproven, self._idle):
-            if any(self._close_if_quiet(connection) for connection in list(islice(row, CANDIDATES))):
-                return True
+            for connection in list(islice(row, CANDIDATES)):
+                if connection.fresh():  # else a request is there already, or the client's own close
+                    self._clients[connection].kill()
+                    return True
         return False
 
-    def _close_if_quiet(self, connection: Connection) -> bool:
-        if not connection.fresh():  # a request is there already, or the client's own close
-            return False
-        self._clients[connection].kill()
-        return True
+    def _retire_if_resting(self, connection: Connection) -> None:
+        """End a connection between requests: what has been read of one, or lies unread, is answered first.
+
+        It ends as one whose time is over, so that a request which crosses the end is read and thrown away:
+        its client hands it in anew.
+        """
+        if _between(connection) and connection.fresh():
+            self._clients[connection].wake(0)
 
     def _close_idle(self) -> None:
         """Close what has idled for a moment; who has only just come may be about to ask."""
         for connection in [*self._idle, *self._unproven]:
             if self._loop.now - connection.idle_since >= QUIET_TIME:
-                self._close_if_quiet(connection)
+                self._retire_if_resting(connection)
 
     def _close_up(self) -> None:
         self._closing = True
         self._deaf_at = self._loop.now + DEAF_TIME
         for connection in [*self._idle, *self._unproven]:
-            self._close_if_quiet(connection)
+            self._retire_if_resting(connection)
         self._accepting.step(0)
 
     def _ended(self, connection: Connection | None) -> None:
@@ -293,8 +297,10 @@
                     yield from self._linger(connection)
                     return
                 parser.start_next_cycle()
-        except Ended:
-            pass  # between requests, or the client has gone: nobody is left to tell
+        except Ended as ended:
+            if ended.ending is Ending.TIMED_OUT:  # between requests
+                yield from self._linger(connection)
+            # Otherwise the client has gone: nobody is left to tell.
         finally:
             self._ended(connection)
 
@@ -368,6 +374,7 @@
         job = self._job(request, body)
         task = self._clients[connection]
         session = self._dispatcher.submit(arrival, job, task.wake)
+        session.client_left = connection.far_end_left
         last = session.deadline + self._config.settings.answer_grace
         leaving = self._leaving
         late = leaving.stage is Stage.LEAVING and self._loop.now - leaving.since >= LATE
@@ -474,20 +481,31 @@
         if parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             raise Ended(Ending.CLOSED)
         headers = [*headers, (b"Content-Length", b"%d" % len(body))]
-        parting = self._leaving.parting and self._pass_on is None
-        if parting or parser.their_state not in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED):
+        if self._parts(connection) or parser.their_state not in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED):
             headers.append((b"Connection", b"close"))
         data = parser.send(h11.Response(status_code=status, headers=headers, reason=REASON[status])) or b""
         data += (parser.send(h11.Data(data=body)) or b"") + (parser.send(h11.EndOfMessage()) or b"")
         yield from connection.write(data, self._loop.now + WRITE_TIME)
 
+    def _parts(self, connection: Connection) -> bool:
+        """Whether an answer ends its connection: on the way out, unless the next request is there already.
+
+        Guards requests that were sent behind another one: with the connection they would be lost.
+        """
+        leaving = self._leaving
+        if not leaving.parting or self._pass_on is not None:
+            return False
+        due = leaving.stage is Stage.LEAVING and self._loop.now - leaving.since >= self._last
+        return due or (not connection.parser.trailing_data[0] and connection.fresh())
+
     def _linger(self, connection: Connection) -> Coroutine[None]:
         """Read on for a moment after a last answer.
 
         Guards against a reset that overtakes the answer: closing with bytes unread would send one.
         """
         shut_writing(connection.sock)
-        self._unproven.pop(connection, None)
+        for row in (self._unproven, self._idle):
+            row.pop(connection, None)
         self._lingering[connection] = None
         until = self._loop.now + LINGER_TIME
         while self._loop.now < until:
@@ -504,6 +522,20 @@
                 yield from connection.pace()
 
 
+def _between(connection: Connection) -> bool:
+    """Whether nothing of a request has been read."""
+    parser = connection.parser
+    return parser.their_state is h11.IDLE and not parser.trailing_data[0] and not len(connection.buffer)
+
+
+def _read_off(sock: socket.socket) -> None:
+    """Throw away what has come and is unread, up to a bound."""
+    with contextlib.suppress(OSError):
+        for _ in range(READ_OFF):
+            if not sock.recv_into(SCRAP):
+                return
+
+
 def _framing(head: bytes, request: h11.Request) -> None:
     """Raise BadRequest unless there is one way only to say where the body ends.
 
--- a/heronstall/net/loop.py
+++ b/heronstall/net/loop.py
@@ -88,10 +88,19 @@
             if until is not None:
                 self._timer = self._loop.at(until, lambda: self.step(0))
             if fd >= 0:
-                self._loop.arm(fd, mask, self)
+                self._arm(fd, mask)
         finally:
             self._running = False
 
+    def _arm(self, fd: int, mask: int) -> None:
+        try:
+            self._loop.arm(fd, mask, self)
+        except OSError:  # the kernel has no such descriptor, or no room: this coroutine alone cannot go on
+            say(log, events.UNEXPECTED, where=self.name)
+            self.done = True
+            self._stop_waiting()
+            self._loop.soon(self._coroutine.close)
+
     def _stop_waiting(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
