Serve sites without load reports: size cold servers, leave out silent ones, repeat nothing in vain

At fault: _again, which sent a job again that had timed out past its aim, where a late answer is worth nothing; _health, which passed over an attempt that timed out without having started, so that a silent server was drawn again at once; _weigh_ways, where without reports the mean size was one slot, so that cold servers got next to nothing, and the near servers were too few for what a node has in hand. Change: such a job is refused where that is allowed, else it waits behind those in time; such a server is left out as a failing one is; the size is taken from own running jobs times the number of nodes; without reports near servers are twice as many by own load, far ones weigh a tenth of before.

--- a/heronstall/decide.py
+++ b/heronstall/decide.py
@@ -24,6 +24,7 @@
 BLIND = 1.05  # seconds: others' jobs of so long are not in a report, nor over, when an own job comes in
 SPEED_POWER, SPEED_PRIOR = 1.6, 5.0  # how much fast kinds are preferred; jobs it is shrunk by
 NEAR, NEAR_EVEN, NEAR_LEAST = 1.2, 2.0, 0.03  # near workers: in own loads, in even parts; least weight
+UNHEARD_NEAR, UNHEARD_LEAST = 2.4, 0.003  # the same where no worker reports: only own jobs are known
 REACH_HALF, REACH_LEAST = 2 * SECOND, 0.02  # a zone's lost reach is half forgotten after; its least weight
 UNREACHED, UNPROBED, REACHED = 0.4, 0.7, 1.3  # on reach: no connection, lost probe, answer
 SLOW_START = 300 * MS  # an attempt that waits longer for its start found its worker jammed
@@ -142,7 +143,7 @@
         self._timers: list[tuple[int, int, _Job, _Attempt | None]] = []  # attempts to watch, last answers
         self._out: list[i.Action] = []
         self._taking = 1.0  # part of the arrivals that are taken
-        self._own = 6.0  # own slots in flight lately
+        self._own, self._running = 6.0, 0.0  # own slots in flight lately, and those that had started
         self._mean_size = 1.0  # slots of a worker, over those whose size is known
         self._reach: dict[int, tuple[int, float]] = {}  # by zone: when last tried, how well it went
         self._kinds: dict[int, tuple[float, float]] = {}  # by kind: sum of speeds seen, and their weight
@@ -288,9 +289,7 @@
     def _judge(self, attempt: _Attempt, slow: bool) -> None:
         """Take fewer jobs while those sent wait long for their start, more again while they start at once.
 
-        Guards the fleet, when it is short of capacity, against jobs that all wait and are all late: what this
-        node sees of its own attempts is the freshest sign of that, and each node takes back its own part.
-        Harm: a few jobs are refused that would have been in time.
+        A fleet short of capacity must not have all jobs wait and be late. Own attempts are the freshest sign.
         """
         if not attempt.judged:
             attempt.judged = True
@@ -364,18 +363,22 @@
         own = sum(w.own for w in self._active) + len(self._queue)
         self._own += 0.05 * (own - self._own)
         zone = len(self._rings.get(self._set.zone, ())) or 1
-        wide = max(NEAR_EVEN / self._set.nodes, NEAR * self._own / (zone * UNKNOWN_SIZE))
+        near, least = (UNHEARD_NEAR, UNHEARD_LEAST) if self._set.reports == "none" else (NEAR, NEAR_LEAST)
+        wide = max(NEAR_EVEN / self._set.nodes, near * self._own / (zone * UNKNOWN_SIZE))
         if self._set.me >= 0:
             for w in self._active:
-                w.near = max(NEAR_LEAST, min(1.0, math.pow(0.5, w.far / wide - 1.0)))
-        # Seen from a worker its nodes lie round the ring as its workers do from a node: what is the mean of
-        # one is that of the other, and parts in proportion to nearness add up to one whole.
+                w.near = max(least, min(1.0, math.pow(0.5, w.far / wide - 1.0)))
+        # A worker's nodes lie round the ring as a node's workers do: parts by nearness add up to one whole.
         for row in self._rings.values():
             mean = sum(w.near for w in row) / len(row)
             for w in row:
                 w.part = w.near / mean
         sizes = [w.size for w in self._active if w.size > 0]
-        self._mean_size = sum(sizes) / len(sizes) if sizes else 1.0
+        # Without reports: what each node makes of its own running jobs adds up to the truth over all nodes.
+        running = sum(a.job.slots for w in self._workers.values() for a in w.running.values())
+        self._running += 0.05 * (running - self._running)
+        seen = self._running * self._set.nodes / (len(self._active) or 1)
+        self._mean_size = sum(sizes) / len(sizes) if sizes else max(1.0, seen)
 
     # ------------------------------------------------------------------ reports
 
@@ -519,8 +522,7 @@
         """Weighted draw among the workers with room.
 
         A worker weighs what its last report leaves free there, less own jobs since, and what all others send
-        it before an own job has come in. Without the latter one report of an idle worker draws the jobs of
-        every node at once, and the next is of a jammed one: the more nodes, the less a report is worth.
+        it before an own job has come in: else one report of an idle worker draws every node's jobs at once.
         """
         others = (1.0 - 1.0 / self._set.nodes) * BLIND * SECOND / self._mean_run
         anchor = job.anchor() if self._set.classes[job.cls].group != "all" else None
@@ -593,8 +595,8 @@
     def _cold_fits(self, now: int, w: _Worker, job: _Job) -> bool:
         """The cold-start budget: this node's even part of what all may send within any window.
 
-        With many nodes a part is smaller than a job. A job then passes by lot, drawn once a window, with the
-        chance that its part bears to its size, so that all nodes together still keep to the budget.
+        Where a part is smaller than a job, a job passes by lot, drawn once a window, so that all nodes
+        together still keep to the budget.
         """
         s = self._set
         if now >= w.started_at + s.cold:
@@ -666,7 +668,7 @@
         budget = self._moves if status == "cancelled" else self._retries
         if not self._may_send(now, job) or (status != "no_connection" and not budget.take(now)):
             self._finish(now, job)
-        elif status == "cancelled" and not job.late and now > self._latest(job):
+        elif status in ("cancelled", "timeout") and not job.late and now > self._latest(job):
             self._lost(now, job)
         else:
             self._enqueue(job)
@@ -696,17 +698,12 @@
         return 1.0 - (1.0 - reach) * math.pow(0.5, (now - at) / REACH_HALF)
 
     def _tried(self, now: int, w: _Worker, factor: float) -> None:
-        """What one worker shows of the way to its zone. Guards against a zone cut off or down, of which no
-        worker alone shows enough. Never to naught: all zones may be in trouble, and one comes back unsaid.
-        """
+        """What one worker shows of the way to its zone. Never to naught: a zone comes back unsaid."""
         zone = w.entry.zone
         self._reach[zone] = (now, min(1.0, max(REACH_LEAST, self._reach_now(now, zone) * factor)))
 
     def _doubt(self, now: int, a: _Attempt) -> None:
-        """A job that cannot be moved is left unanswered: its class goes to workers that have proved good.
-
-        Guards against workers that hang, or neglect one class. Harm: for a while few workers get the class.
-        """
+        """A worker hangs or neglects a class: for a while that class goes to workers proved good."""
         about = (a.job.cls, a.worker.entry.zone)
         proven = self._proven.setdefault(about, [])
         if a.worker in proven:
@@ -715,11 +712,12 @@
 
     def _health(self, now: int, attempt: _Attempt, e: i.Outcome) -> None:
         w = attempt.worker
+        unstarted = self._set.tells_start and attempt.started is None and w.last_sign < attempt.sent
+        silent = e.status == "timeout" and unstarted
         if e.status == "no_connection" and not w.running:
             # Likely a restart that the list has yet to tell of: cold from now on. Not so while own attempts
-            # run there, for a restart breaks them all; nor is one that breaks such a sign. Workers that live
-            # on, and the way there, break and turn down connections too, and a whole fleet taken for cold
-            # refuses most jobs. Harm: after a link mends, its idle workers warm up again.
+            # run there, for a restart breaks them all. Live workers and links turn down connections too, and
+            # a whole fleet taken for cold refuses most jobs.
             w.started_at = now
         if e.status == "ok":
             self._tried(now, w, REACHED)
@@ -732,18 +730,17 @@
                 self._learn(attempt.job, float(max(1, now - attempt.started)), w)
         elif e.status == "no_connection":
             self._tried(now, w, UNREACHED)
-            # Unreachable, and proved harmless by the outcome: no cap, no retry budget, and any job may try it
-            # again. Guards against dead workers still listed, a zone cut off, full connection tables.
-            # Harm: a short blip costs a worker for at most two seconds.
+            # Dead though listed, cut off or full of connections, and proved harmless: no cap and no retry
+            # budget, and any job may try it again. A short blip costs a worker two seconds at most.
             w.failures = min(w.failures + 1.0, 4.0)
             w.ejected_until = max(w.ejected_until, now + int(125 * MS * 2.0**w.failures))
             w.trial = w.unreachable = True
         elif e.status == "reset" and w.breaks < BREAKS and not attempt.cancelled:
             # One of its connections broke, not all. Harm: a worker that breaks them all costs one job more.
             w.breaks += 1.0
-        elif e.status in ("error", "reset") and not attempt.cancelled:
-            # Failing fast: out for 1 s, then 2 .. 16, then one repeatable job as half-open trial, so that it
-            # is no black hole. The cap keeps a trouble that strikes all from ejecting all.
+        elif (e.status in ("error", "reset") or silent) and not attempt.cancelled:
+            # Failing fast, or starting nothing: out for 1, 2 .. 16 s, then one repeatable job as a trial. The
+            # cap keeps a trouble that strikes all from ejecting all.
             w.unreachable = False
             w.failures += 1.0
             down = sum(1 for x in self._active if x.trial and not x.unreachable)
