Rename asking to the discovery client's back-off, with typed ends of a call

Need: house vocabulary is withdrawn ('asking' is the field's back-off), and a call's end passed the border as six flags and figures by place. Change: heronstall/start/backoff.py has DiscoveryBackoff.pause, which takes a CallEnd and a Refusal; constants are named with their meaning. Behaviour as before. One assertion of test_start went from 'a Retry-After without a refusal changes nothing' to the pause without a refusal: the types do not let the former be said any more.

--- a/heronstall/model/mesh.py
+++ b/heronstall/model/mesh.py
@@ -16,7 +16,7 @@
 from heronstall.membership.relays import AGE_MOST, TELLS, Relaying
 from heronstall.membership.swim import USUAL, Address, Limits, Member, Out, Swim
 from heronstall.model.kernel import VirtualTime
-from heronstall.start.asking import Asking
+from heronstall.start.backoff import CallEnd, DiscoveryBackoff, Refusal
 
 CLUSTER = "model"
 START = 1_000_000  # incarnations begin here
@@ -160,14 +160,14 @@
         self.changed_at: int | None = None  # when the list last changed
         self.knew: dict[str, int] = {}  # when each member came to know that
         self._agent: dict[str, int] = {}  # when each member's own agent does
-        self._asking: dict[str, Asking] = {}
+        self._backoff: dict[str, DiscoveryBackoff] = {}
         self._asked: dict[str, int] = {}  # when a relay's next call is due, or its answer
 
     def start(self, name: str, seeds: list[Address], zone: str = "a", address: Address | None = None) -> Swim:
         """A member begins, with no list."""
         swim = super().start(name, seeds, zone, address)
         relaying = self.relaying[name] = Relaying(self.now)
-        self._asking[name] = Asking(1, random.Random(self._draw.getrandbits(64)))
+        self._backoff[name] = DiscoveryBackoff(1, random.Random(self._draw.getrandbits(64)))
         for told in (self.news, self.direct, self.fresh, self._asked, self.knew):
             told.pop(name, None)
 
@@ -225,12 +225,12 @@
         elif now >= self._asked.get(name, 0):
             self.calls.append((now, name))
             ready = self.desk.ask(now, int(name[1:])) if up else None
-            asking, self._asked[name] = self._asking[name], 1 << 62
-            asking.nodes = sum(row.duty is Duty.RELAY for row in self.members[name].living())
+            backoff, self._asked[name] = self._backoff[name], 1 << 62
+            backoff.clients = sum(row.duty is Duty.RELAY for row in self.members[name].living())
             if not up:
-                self._asked[name] = now + self.UNANSWERED + asking.ended(False, False, False)
+                self._asked[name] = now + self.UNANSWERED + backoff.pause(CallEnd.NEVER_ANSWERED)
             elif ready is None:
-                self._asked[name] = now + asking.ended(False, False, True)
+                self._asked[name] = now + backoff.pause(CallEnd.NEVER_ANSWERED, Refusal())
             else:
                 self.at(ready, lambda: self._answered(name))
 
--- a/heronstall/net/server_table.py
+++ b/heronstall/net/server_table.py
@@ -18,7 +18,7 @@
 from heronstall.net.json_stream import JsonStream
 from heronstall.net.loop import Coroutine, Loop, Task, sleep
 from heronstall.ops.bans import Bans
-from heronstall.start.asking import Asking
+from heronstall.start.backoff import CallEnd, DiscoveryBackoff, Refusal
 
 STATES: dict[str, Literal["active", "leaving", "left"]] = {
     "SERVING": "active",
@@ -258,9 +258,9 @@
 
     def _keep_up(self, watch: _Watch, answered: Connection | None = None) -> Coroutine[None]:
         """Ask, and listen, over and over. `answered`: a call of before, whose answer has come late."""
-        asking = Asking(self._config.settings.nodes, self._random)
+        backoff = DiscoveryBackoff(self._config.settings.nodes, self._random)
         while watch is self._watch:
-            turned_away, watch.retry_after = False, None
+            refused, watch.retry_after = False, None
             connection, answered = answered, None
             rev = watch.rev
             sources, relay = self.sources, None
@@ -268,7 +268,7 @@
                 if connection is None:
                     if sources is not None:
                         relay = yield from sources.next()
-                        asking.nodes = sources.askers()
+                        backoff.clients = sources.askers()
                     host, port = relay or watch.discovery
                     own = sources.host if sources is not None and relay is not None else ""
                     until = self._loop.now + CONNECT_TIME
@@ -284,7 +284,7 @@
                     sources.ended(relay)
                     yield from sleep(self._loop.now + AGAIN)
                     continue
-                turned_away = ended.ending is Ending.FAILED
+                refused = ended.ending is Ending.FAILED
                 if ended.ending is Ending.MALFORMED:
                     watch.rev = watch.after = None  # what was missed cannot be told: ask for the whole list
             except Exception:
@@ -293,9 +293,12 @@
             finally:
                 if connection is not None:
                     connection.close()
-            told, now = watch.rev is not None and watch.rev != rev, self._loop.now
-            wait = asking.ended(told, watch.heard, turned_away, watch.retry_after, now, not self._by_uid)
-            yield from sleep(now + wait)
+            end = CallEnd.NO_NEWS if watch.heard else CallEnd.NEVER_ANSWERED
+            if watch.rev is not None and watch.rev != rev:
+                end = CallEnd.NEWS
+            refusal = Refusal(watch.retry_after) if refused else None
+            now = self._loop.now
+            yield from sleep(now + backoff.pause(end, refusal, now, has_list=bool(self._by_uid)))
 
     def _leave_open(self, watch: _Watch, connection: Connection) -> Connection | None:
         """Wait on for an answer, to one call at a time; the connection, where it is to be closed."""
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -8,24 +8,35 @@
 import pytest
 
 from heronstall.fleet.desk import Desk
-from heronstall.start.asking import LONGEST_PAUSE, LONGEST_TOLD, PAUSE, TERM, UNHEARD_PAUSE, Asking
+from heronstall.start.backoff import (
+    FIRST_PAUSE,
+    LONGEST_PAUSE,
+    LONGEST_RETRY_AFTER,
+    NEWS_TERM,
+    UNHEARD_PAUSE,
+    CallEnd,
+    DiscoveryBackoff,
+    Refusal,
+)
+
+NEWS, NO_NEWS, UNHEARD = CallEnd.NEWS, CallEnd.NO_NEWS, CallEnd.NEVER_ANSWERED
 
 
 def test_a_watch_that_ends_is_asked_for_again_soon_and_then_ever_later() -> None:
-    asking = Asking(100, random.Random(1))
-    assert asking.ended(told=True, heard=True, turned_away=False) == PAUSE
-    pauses = [asking.ended(told=False, heard=True, turned_away=False) for _ in range(8)]
+    backoff = DiscoveryBackoff(100, random.Random(1))
+    assert backoff.pause(NEWS) == FIRST_PAUSE
+    pauses = [backoff.pause(NO_NEWS) for _ in range(8)]
     assert pauses == sorted(pauses) and pauses[-1] == LONGEST_PAUSE
-    assert asking.ended(told=False, heard=False, turned_away=False) == UNHEARD_PAUSE
-    assert asking.ended(told=True, heard=True, turned_away=False) == PAUSE
+    assert backoff.pause(UNHEARD) == UNHEARD_PAUSE
+    assert backoff.pause(NEWS) == FIRST_PAUSE
 
 
 def test_what_the_list_service_says_of_when_goes_before_any_guess() -> None:
-    asking = Asking(300, random.Random(1))
-    pauses = [asking.ended(False, False, True, 2_000_000) for _ in range(50)]
+    backoff = DiscoveryBackoff(300, random.Random(1))
+    pauses = [backoff.pause(UNHEARD, Refusal(2_000_000)) for _ in range(50)]
     assert min(pauses) >= 2_000_000 and max(pauses) <= 3_000_000 and len(set(pauses)) == 50
-    assert asking.ended(False, False, True, 10**10) <= 1.5 * LONGEST_TOLD
-    assert asking.ended(False, False, False, 2_000_000) == UNHEARD_PAUSE  # nobody has said anything
+    assert backoff.pause(UNHEARD, Refusal(10**10)) <= 1.5 * LONGEST_RETRY_AFTER
+    assert backoff.pause(UNHEARD) == UNHEARD_PAUSE
 
 
 @pytest.mark.parametrize("nodes", [100, 200, 300])
@@ -34,7 +45,7 @@
     lasts, calls = [], []
     for seed in range(5):
         desk, draw = Desk(7, 8), random.Random(seed)
-        asking = [Asking(nodes, random.Random(seed * 1000 + n)) for n in range(nodes)]
+        backoffs = [DiscoveryBackoff(nodes, random.Random(seed * 1000 + n)) for n in range(nodes)]
         heap = [(draw.randrange(2_000_000), n) for n in range(nodes)]
         heapq.heapify(heap)
         last = 0
@@ -42,7 +53,7 @@
             now, n = heapq.heappop(heap)
             ready = desk.ask(now, n)
             if ready is None:
-                heapq.heappush(heap, (now + asking[n].ended(False, False, True, now=now), n))
+                heapq.heappush(heap, (now + backoffs[n].pause(UNHEARD, Refusal(), now), n))
             else:
                 last = max(last, ready)
         lasts.append(last / 1e6)
@@ -54,14 +65,14 @@
     assert max(calls) < (2.4 if nodes <= 100 else 2.9), calls
 
 
-def served(desk: Desk, askers: list[Asking], empty: set[int]) -> list[float]:
+def served(desk: Desk, clients: list[DiscoveryBackoff], empty: set[int]) -> list[float]:
     """All ask at one moment until each has its list: when each had it, in seconds."""
-    heap, news = [(0, n) for n in range(len(askers))], [0.0] * len(askers)
+    heap, news = [(0, n) for n in range(len(clients))], [0.0] * len(clients)
     while heap:
         now, n = heapq.heappop(heap)
         ready = desk.ask(now, n)
         if ready is None:
-            wait = askers[n].ended(False, False, True, now=now, empty=n in empty)
+            wait = clients[n].pause(UNHEARD, Refusal(), now, has_list=n not in empty)
             heapq.heappush(heap, (now + wait, n))
         else:
             news[n] = ready / 1e6
@@ -70,18 +81,18 @@
 
 def test_a_slow_list_service_is_asked_the_more_rarely_the_longer_it_turns_all_away() -> None:
     desk = Desk(1, 8)
-    news = served(desk, [Asking(100, random.Random(n)) for n in range(100)], set())
+    news = served(desk, [DiscoveryBackoff(100, random.Random(n)) for n in range(100)], set())
     assert len(desk.asked) < 520 and max(news) < 150  # 656 calls at an even pace
-    asking = Asking(100, random.Random(1))
-    asking.ended(False, False, True, now=0)
-    assert max(asking.ended(False, False, True, now=90_000_000) for _ in range(30)) > 60_000_000
-    asking.ended(False, False, False, now=91_000_000)  # down, then back: that says nothing of its pace
-    assert max(asking.ended(False, False, True, now=92_000_000) for _ in range(30)) < 16_000_000
+    backoff = DiscoveryBackoff(100, random.Random(1))
+    backoff.pause(UNHEARD, Refusal(), now=0)
+    assert max(backoff.pause(UNHEARD, Refusal(), now=90_000_000) for _ in range(30)) > 60_000_000
+    backoff.pause(UNHEARD, now=91_000_000)  # down, then back: that says nothing of its pace
+    assert max(backoff.pause(UNHEARD, Refusal(), now=92_000_000) for _ in range(30)) < 16_000_000
 
 
 def test_who_has_no_list_at_all_is_served_before_those_who_have_one() -> None:
     empty = set(range(0, 100, 5))
-    news = served(Desk(7, 8), [Asking(100, random.Random(n)) for n in range(100)], empty)
+    news = served(Desk(7, 8), [DiscoveryBackoff(100, random.Random(n)) for n in range(100)], empty)
     without, others = sorted(news[n] for n in empty), sorted(news[n] for n in range(100) if n not in empty)
     assert without[len(without) // 2] < 0.6 * others[len(others) // 2]
 
@@ -90,15 +101,15 @@
 def test_a_single_refusal_puts_off_the_next_call_by_less_than_the_term(retry_after: int | None) -> None:
     """A change counts as told six seconds after it could be reached, whatever call was refused."""
     for seed in range(50):
-        asking = Asking(350, random.Random(seed))
-        first = asking.ended(False, True, True, retry_after, now=0)
-        assert PAUSE <= first <= TERM - 1_500_000  # time for the call itself
-        asking.ended(False, True, False, now=first)
-        assert asking.ended(False, True, True, retry_after, now=TERM) <= TERM - 1_500_000
+        backoff = DiscoveryBackoff(350, random.Random(seed))
+        first = backoff.pause(NO_NEWS, Refusal(retry_after), now=0)
+        assert FIRST_PAUSE <= first <= NEWS_TERM - 1_500_000  # time for the call itself
+        backoff.pause(NO_NEWS, now=first)
+        assert backoff.pause(NO_NEWS, Refusal(retry_after), now=NEWS_TERM) <= NEWS_TERM - 1_500_000
     hung = 2_600_000  # a call that is given up without an answer
-    assert hung + 2 * LONGEST_PAUSE <= TERM - 1_000_000  # and the one after it fails
+    assert hung + 2 * LONGEST_PAUSE <= NEWS_TERM - 1_000_000  # and the one after it fails
 
 
 def test_one_alone_that_is_turned_away_asks_again_at_once() -> None:
-    pauses = [Asking(1, random.Random(seed)).ended(False, False, True) for seed in range(50)]
+    pauses = [DiscoveryBackoff(1, random.Random(seed)).pause(UNHEARD, Refusal()) for seed in range(50)]
     assert max(pauses) <= UNHEARD_PAUSE
