--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -411,3 +411,61 @@
         back["targets"][0]["boot_ms"] = 5
         self.watch.say(json.dumps(back))
         self.spin(lambda: self.served() == {"s-0", "s-1"})
+
+
+class Waiting(Endings):
+    def test_a_job_that_waited_when_its_client_left_is_never_sent(self) -> None:
+        self.watch.sock.sendall(STREAM)
+        self.watch.say(json.dumps(self.table(0, 1, rev=5, state="DRAINING")))
+        self.spin(lambda: self.program.table.rev == 5)
+        client = self.ask()
+        self.rest(0.05)
+        self.assertEqual(client.read(), b"")  # it waits
+        client.sock.close()
+        self.rest(0.02)
+        self.watch.say(json.dumps(self.table(0, 1, rev=6)))
+        self.rest(0.4)
+        self.assertEqual(self.posts(), 0)
+
+    def test_a_further_attempt_tells_its_server_no_more_than_is_left_to_the_client(self) -> None:
+        client = self.ask("keyed", wait="3.0")
+        first = self.dispatched()
+        self.rest(0.5)
+        first.sock.sendall(b"HTTP/1.1 500 broken\r\nContent-Length: 0\r\n\r\n")
+        second = self.dispatched()
+        told = [float(end.job.split(b"Req-Deadline: ")[1].split(b"\r\n")[0]) for end in (first, second)]
+        self.assertLessEqual(told[0], 3.0)
+        self.assertLessEqual(told[1], 2.5)
+        second.sock.sendall(answer("id-1"))
+        self.assertEqual(self.status(client), 200)
+
+
+class Crowded(Endings):
+    sockets = 64  # 12 on either side
+
+    def test_idle_clients_fill_the_descriptors_while_discovery_is_down_and_service_resumes(self) -> None:
+        self.watch.sock.sendall(STREAM)
+        self.watch.say(json.dumps(self.table(0, rev=5)))
+        self.spin(lambda: self.program.table.rev == 5)
+        host, port = self.discovery.getsockname()
+        self.discovery.close()
+        self.watch.sock.close()
+        crowd = [self.client() for _ in range(100)]
+        self.rest(0.5)
+        client = self.ask()  # among the crowd, with the list that is held
+        self.dispatched().sock.sendall(answer("id-1"))
+        self.assertEqual(self.status(client), 200)
+        self.discovery = socket.create_server((host, port))
+        self.discovery.settimeout(0)
+        again = self.accept(self.discovery)
+        self.spin(lambda: b"after=5 " in again.read())
+        again.sock.sendall(STREAM)
+        again.say(json.dumps(self.table(1, rev=6)))
+        self.spin(lambda: self.program.table.rev == 6)
+        client = self.ask(name="id-2")
+        end = self.dispatched()
+        self.assertEqual(end.sock.getsockname(), self.servers[1].getsockname())
+        end.sock.sendall(answer("id-2"))
+        self.assertEqual(self.status(client), 200)
+        for peer in crowd:
+            peer.sock.close()
--- a/tests/test_unheard.py
+++ b/tests/test_unheard.py
@@ -126,3 +126,24 @@
         assert worst <= most + 2 * math.sqrt(most) + 2, (seed, worst, most)
         if reports == "none":  # what a report says is made up here, and may leave no room
             assert worst >= 0.1 * most, (seed, worst, most)
+
+
+@pytest.mark.parametrize("reports", ["none", "answers"])
+def test_no_node_refuses_all_for_seconds_however_slow_all_starts_are(reports: str) -> None:
+    w = world(classes=(SHORT,), nodes=200, me=3, reports=reports)
+    w.step(WorkerList("complete", tuple(workers(20))))
+    sent_at = [w.now]
+    waiting: list[tuple[int, int]] = []
+    for number in range(60 * 4):  # a minute of four requests a second
+        w.now += 250 * MS
+        for late in [n for at, n in waiting if w.now >= at + S]:
+            waiting = [(at, n) for at, n in waiting if n != late]
+            w.started(late)
+            w.outcome(late, "ok")
+        w.request(number, 0, work=WORK)
+        for action in w.sends():
+            sent_at.append(w.now)
+            waiting.append((w.now, action.request))
+    gaps = [b - a for a, b in zip(sent_at, [*sent_at[1:], w.now], strict=True)]
+    assert len(sent_at) < 200, "some are refused"
+    assert sum(gap > 4 * S for gap in gaps) <= 1, max(gaps)
