Rename leaving to graceful shutdown, with named moments and stages

Need: house vocabulary is withdrawn. Change: heronstall/net/shutdown.py has GracefulShutdown (begin, drain, rejoin, signalled_at, closing_connections, unavailable) and Stage.STOPPING; operators go on reading 'leaving'. Behaviour as before.

--- a/heronstall/__main__.py
+++ b/heronstall/__main__.py
@@ -19,9 +19,9 @@
 from heronstall.net.backend import HttpBackend, Pool
 from heronstall.net.dispatcher import Dispatcher
 from heronstall.net.frontend import Frontend
-from heronstall.net.leaving import Leaving
 from heronstall.net.loop import READ, Coroutine, Loop, clock
 from heronstall.net.server_table import ServerTable
+from heronstall.net.shutdown import GracefulShutdown
 from heronstall.operator import (
     Operator,
     OperatorError,
@@ -65,12 +65,12 @@
         born = loop.now
         self.config, self.dispatcher = config, Dispatcher(config, loop)
         self._loop, self._offset = loop, offset
-        self.leaving, bans = Leaving(loop), Bans()
+        self.shutdown, bans = GracefulShutdown(loop), Bans()
         self.daily: Daily | None = None
         if config.operator is not None:
             from heronstall.net.daily import Daily  # only here: what is not imported costs a start nothing
 
-            self.daily = Daily(config, config.operator, loop, offset, bans, self.leaving, folder)
+            self.daily = Daily(config, config.operator, loop, offset, bans, self.shutdown, folder)
         self.peers: Peers | None = None
         if told is not None:
             from heronstall.net.peers.hub import Peers
@@ -109,7 +109,7 @@
             snapshots.begin(table)
         table.start(handed)
         listener = self.daily.listener if self.daily is not None else None
-        self.frontend = Frontend(config, loop, self.dispatcher, ready, half, self.leaving, listener)
+        self.frontend = Frontend(config, loop, self.dispatcher, ready, half, self.shutdown, listener)
         if self.daily is not None:
             self.daily.begin(self.dispatcher, table, self.frontend, pool, taking, self._half)
             if guard is not None:
@@ -141,7 +141,7 @@
         return detail
 
     def _leave(self) -> None:
-        self.leaving.leave()
+        self.shutdown.begin()
         if self.peers is not None:
             self.peers.leave()
         if self.daily is not None:
--- a/heronstall/net/book.py
+++ b/heronstall/net/book.py
@@ -7,9 +7,9 @@
 
 from heronstall import events
 from heronstall.events import say
-from heronstall.net.leaving import Leaving
 from heronstall.net.loop import Loop
 from heronstall.net.server_table import ServerTable
+from heronstall.net.shutdown import GracefulShutdown
 from heronstall.ops.bans import Bans, Word
 from heronstall.ops.handover import Folder, State, Wrong
 
@@ -20,8 +20,8 @@
 class Book:
     """The bans and the drain, and the files that carry them to other processes, where a folder is told."""
 
-    def __init__(self, loop: Loop, offset: int, bans: Bans, leaving: Leaving) -> None:
-        self._loop, self._offset, self._bans, self._leaving = loop, offset, bans, leaving
+    def __init__(self, loop: Loop, offset: int, bans: Bans, shutdown: GracefulShutdown) -> None:
+        self._loop, self._offset, self._bans, self._shutdown = loop, offset, bans, shutdown
         self._drain: Word | None = None
         self._files: Folder | None = None
         self._table: ServerTable | None = None
@@ -46,7 +46,7 @@
 
     def changed(self) -> None:
         """An operator has taken a server out or in, or begun or ended the drain."""
-        drained = self._leaving.drained
+        drained = self._shutdown.drained
         if drained != (self._drain is not None and self._drain.out):
             now = self._loop.now + self._offset
             before = self._drain.at if self._drain else 0
@@ -80,9 +80,9 @@
         if word is not None and newer:
             self._drain = word
             if word.out:
-                self._leaving.drain()
+                self._shutdown.drain()
             else:
-                self._leaving.rejoin()
+                self._shutdown.rejoin()
         # Whoever said it may be gone when the next process comes; that one asks who is left.
         if (changed or newer) and self._table is not None:
             self._write()
--- a/heronstall/net/daily.py
+++ b/heronstall/net/daily.py
@@ -16,10 +16,10 @@
 from heronstall.net.dispatcher import Dispatcher
 from heronstall.net.door import CALLERS, Door
 from heronstall.net.frontend import Frontend
-from heronstall.net.leaving import Leaving, Stage
 from heronstall.net.loop import Loop
 from heronstall.net.operations import Operations
 from heronstall.net.server_table import ServerTable
+from heronstall.net.shutdown import GracefulShutdown, Stage
 from heronstall.net.succession import Share, Succession, claim
 from heronstall.ops.bans import Bans
 
@@ -36,11 +36,11 @@
         loop: Loop,
         offset: int,
         bans: Bans,
-        leaving: Leaving,
+        shutdown: GracefulShutdown,
         folder: Path | None,
     ) -> None:
-        self._config, self._address, self._loop, self._leaving = config, address, loop, leaving
-        self._book = Book(loop, offset, bans, leaving)
+        self._config, self._address, self._loop, self._shutdown = config, address, loop, shutdown
+        self._book = Book(loop, offset, bans, shutdown)
         self._path: Path | None = None
         self._claimed = None
         self._succession: Succession | None = None
@@ -77,7 +77,7 @@
             # Guards against a yes that has the process before stopped while it knows of no heir yet.
             return taking() if self._succession is None else self._succession.begun
 
-        self.operations = operations = Operations(dispatcher, table, self._leaving, begun)
+        self.operations = operations = Operations(dispatcher, table, self._shutdown, begun)
         operations.changed = self._book.changed
         try:
             self.door = Door(self._loop, self._address, operations)
@@ -110,8 +110,8 @@
 
     def hand_over(self) -> None:
         """Leave clients to the heir, if there is one and a signal has come, whichever came first."""
-        leaving = self._leaving.stage is Stage.LEAVING
-        if leaving and self._succession is not None and self._succession.heir:
+        stopping = self._shutdown.stage is Stage.STOPPING
+        if stopping and self._succession is not None and self._succession.heir:
             self._succession.leave(self._frontend.ids())
             self._pool.rest()
             self._frontend.hand_over(self._succession.pass_on)
--- a/heronstall/net/frontend.py
+++ b/heronstall/net/frontend.py
@@ -20,8 +20,8 @@
 from heronstall.net.backend import Job
 from heronstall.net.connection import BODY_LIMIT, Connection, Ended, Ending, listen, shut_writing
 from heronstall.net.dispatcher import Answer, Dispatcher
-from heronstall.net.leaving import Leaving, Stage
 from heronstall.net.loop import LEFT, READ, Coroutine, Loop, Task, sleep
+from heronstall.net.shutdown import GracefulShutdown, Stage
 
 BACKLOG = 1024
 IDLE_TIME = 120_000_000  # a client's connection without a request
@@ -85,12 +85,12 @@
         dispatcher: Dispatcher,
         ready: Callable[[], bool],
         limit: int,
-        leaving: Leaving,
+        shutdown: GracefulShutdown,
         listener: socket.socket | None = None,
     ) -> None:
         self._config, self._loop, self._dispatcher = config, loop, dispatcher
-        self._ready, self._leaving = ready, leaving
-        leaving.close_idle, leaving.close_up = self._close_idle, self._close_up
+        self._ready, self._shutdown = ready, shutdown
+        shutdown.close_idle, shutdown.close_up = self._close_idle, self._close_up
         self._clients: dict[Connection, Task] = {}
         # In the order in which they are given up when room is wanted, each the longest waiting first: those
         # that are answered and only to be closed; those that have never brought a request that can be used,
@@ -366,7 +366,7 @@
     ) -> Coroutine[bool]:
         """Answer a whole request; whether it was one for the backend servers."""
         if arrival is None:
-            good = self._ready() and not self._leaving.away
+            good = self._ready() and not self._shutdown.unavailable
             yield from self._say(
                 connection, 200 if good else 503, [TEXT], b"ready\n" if good else b"not ready\n"
             )
@@ -376,10 +376,10 @@
         session = self._dispatcher.submit(arrival, job, task.wake)
         session.client_left = connection.far_end_left
         last = session.deadline + self._config.settings.answer_grace
-        leaving = self._leaving
-        late = leaving.stage is Stage.LEAVING and self._loop.now - leaving.since >= LATE
+        shutdown = self._shutdown
+        late = shutdown.stage is Stage.STOPPING and self._loop.now - shutdown.signalled_at >= LATE
         if late:
-            last = min(last, leaving.since + self._last)
+            last = min(last, shutdown.signalled_at + self._last)
         got: Any = 0
         try:
             got = yield connection.sock.fileno(), LEFT, last
@@ -492,10 +492,10 @@
 
         Guards requests that were sent behind another one: with the connection they would be lost.
         """
-        leaving = self._leaving
-        if not leaving.parting or self._pass_on is not None:
+        shutdown = self._shutdown
+        if not shutdown.closing_connections or self._pass_on is not None:
             return False
-        due = leaving.stage is Stage.LEAVING and self._loop.now - leaving.since >= self._last
+        due = shutdown.stage is Stage.STOPPING and self._loop.now - shutdown.signalled_at >= self._last
         return due or (not connection.parser.trailing_data[0] and connection.fresh())
 
     def _linger(self, connection: Connection) -> Coroutine[None]:
--- a/heronstall/net/operations.py
+++ b/heronstall/net/operations.py
@@ -6,8 +6,8 @@
 from typing import NamedTuple
 
 from heronstall.net.dispatcher import Dispatcher
-from heronstall.net.leaving import Leaving, Stage
 from heronstall.net.server_table import ServerTable
+from heronstall.net.shutdown import GracefulShutdown, Stage
 
 
 class Reply(NamedTuple):
@@ -21,9 +21,13 @@
     """The calls. Each is harmless when it is made again."""
 
     def __init__(
-        self, dispatcher: Dispatcher, table: ServerTable, leaving: Leaving, taking: Callable[[], bool]
+        self,
+        dispatcher: Dispatcher,
+        table: ServerTable,
+        shutdown: GracefulShutdown,
+        taking: Callable[[], bool],
     ) -> None:
-        self._dispatcher, self._table, self._leaving, self._taking = dispatcher, table, leaving, taking
+        self._dispatcher, self._table, self._shutdown, self._taking = dispatcher, table, shutdown, taking
         self.changed: Callable[[], None] = lambda: None  # a ban or the drain has changed
         # Further figures, where the operator's file asks for what they are of.
         self.detail: Callable[[], Iterator[tuple[str, str]]] | None = None
@@ -31,11 +35,11 @@
 
     def ping(self) -> Reply:
         """Whether this process takes clients. A drained one still takes those who come, so it says yes."""
-        if self._leaving.stage is Stage.LEAVING:
+        if self._shutdown.stage is Stage.STOPPING:
             return Reply(False, "leaving")
         if not self._taking():
             return Reply(False, "no server list yet")
-        return Reply(True, self._leaving.stage.value)
+        return Reply(True, self._shutdown.stage.value)
 
     def figures(self) -> Iterator[tuple[str, int]]:
         """Every figure and its name, as they are now."""
@@ -63,16 +67,16 @@
 
     def lameduck(self) -> Reply:
         """Drain: `/healthz` says no from now on, and clients are led away."""
-        before = self._leaving.stage
-        self._leaving.drain()
+        before = self._shutdown.stage
+        self._shutdown.drain()
         self.changed()
         return Reply(True, "draining" if before is Stage.SERVING else f"{before.value} already")
 
     def rejoin(self) -> Reply:
         """End the drain. A signal's cannot be ended."""
-        before = self._leaving.stage
-        if before is Stage.LEAVING:
+        before = self._shutdown.stage
+        if before is Stage.STOPPING:
             return Reply(False, "leaving")
-        self._leaving.rejoin()
+        self._shutdown.rejoin()
         self.changed()
         return Reply(True, "serving" if before is Stage.DRAINED else "serving already")
--- a/heronstall/net/leaving.py
+++ b/heronstall/net/shutdown.py
@@ -1,4 +1,4 @@
-"""Whether this dispatcher is on its way out, by a drain or by a signal, and how far. One state for both."""
+"""The graceful shutdown of a dispatcher, by an operator's drain or by a signal: one state for both."""
 
 from __future__ import annotations
 
@@ -9,37 +9,37 @@
 
 # By a signal: clients find their way to the others meanwhile; then answers end their connections, and those
 # that idle are closed.
-SIGNAL_TIME = 750_000
+SIGNAL_TIME = 750_000  # microseconds
 # By a drain: the front asks ten times a second and stops new connections 0.2 s after a no. From then on an
 # answer ends its connection. What idles is closed a while later: the more end with an answer, the fewer
 # closes cross a request. A drained dispatcher holds nothing idle, and no job of the last 2 s, after 4 s.
-PART_TIME, IDLE_TIME = 350_000, 1_400_000
-SWEEP = 100_000
+DRAIN_TIME, IDLE_TIME = 350_000, 1_400_000  # until answers, and then sweeps, close connections
+SWEEP = 100_000  # between two sweeps
 
 
 class Stage(enum.Enum):
-    """How far out it is."""
+    """How far the shutdown has got."""
 
     SERVING = "serving"
     DRAINED = "drained"  # by a call: can be taken back
-    LEAVING = "leaving"  # by a signal: ends when all is answered
+    STOPPING = "leaving"  # by a signal: ends when all is answered; operators read the older word
 
 
-class Leaving:
+class GracefulShutdown:
     """The state, and the clock that moves it on. The frontend says what closing means."""
 
     def __init__(self, loop: Loop) -> None:
         self._loop = loop
         self.stage = Stage.SERVING
-        self.drained = False  # what was said by hand last, whatever signal has come: an heir goes by it
-        self.parting = False  # answers end their connections
-        self.since = 0  # of the signal
+        self.drained = False  # what was said by hand last, whatever signal has come: a successor goes by it
+        self.closing_connections = False  # answers end their connections
+        self.signalled_at = 0
         self._timers: list[Timer] = []
         self.close_idle: Callable[[], None] = lambda: None  # called again and again while drained
         self.close_up: Callable[[], None] = lambda: None  # called once after a signal
 
     @property
-    def away(self) -> bool:
+    def unavailable(self) -> bool:
         """Whether new clients are to go elsewhere."""
         return self.stage is not Stage.SERVING
 
@@ -48,7 +48,7 @@
         self.drained = True
         if self.stage is Stage.SERVING:
             self.stage = Stage.DRAINED
-            self._in(PART_TIME, self._part)
+            self._in(DRAIN_TIME, self._close_connections)
             self._in(IDLE_TIME, self._sweep)
 
     def rejoin(self) -> None:
@@ -56,14 +56,14 @@
         self.drained = False
         if self.stage is Stage.DRAINED:
             self._stop()
-            self.stage, self.parting = Stage.SERVING, False
+            self.stage, self.closing_connections = Stage.SERVING, False
 
-    def leave(self) -> None:
+    def begin(self) -> None:
         """A signal has come. What a drain had begun goes on."""
-        if self.stage is not Stage.LEAVING:
+        if self.stage is not Stage.STOPPING:
             self._stop()
-            self.stage, self.since = Stage.LEAVING, self._loop.now
-            self._in(SIGNAL_TIME, self._part)
+            self.stage, self.signalled_at = Stage.STOPPING, self._loop.now
+            self._in(SIGNAL_TIME, self._close_connections)
             self._in(SIGNAL_TIME, lambda: self.close_up())
 
     def _in(self, after: int, call: Callable[[], None]) -> None:
@@ -74,8 +74,8 @@
             timer.cancel()
         self._timers.clear()
 
-    def _part(self) -> None:
-        self.parting = True
+    def _close_connections(self) -> None:
+        self.closing_connections = True
 
     def _sweep(self) -> None:
         self.close_idle()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -243,7 +243,7 @@
 
 class OnTheWayOut(Endings):
     def leave(self) -> None:
-        self.program.leaving.leave()
+        self.program.shutdown.begin()
 
     def test_a_request_that_is_half_read_when_clients_are_closed_is_answered(self) -> None:
         client = self.client()
@@ -255,7 +255,7 @@
         self.leave()
         self.rest(0.6)
         client.sock.sendall(text[:50])
-        self.spin(lambda: self.program.leaving.parting)
+        self.spin(lambda: self.program.shutdown.closing_connections)
         self.rest(0.05)
         self.assertFalse(self.gone(client))
         client.sock.sendall(text[50:])
@@ -299,7 +299,7 @@
         client.sock.sendall(b"".join(one % n for n in range(3)))
         first = self.dispatched()
         self.leave()
-        self.spin(lambda: self.program.leaving.parting)
+        self.spin(lambda: self.program.shutdown.closing_connections)
         for n in range(3):
             end = first if n == 0 else self.dispatched()
             end.sock.sendall(answer(f"id-{n}"))
@@ -333,7 +333,7 @@
             self.send(theirs, signal.SIGHUP)
             self.rest(0.02)
         self.send(theirs, signal.SIGTERM)
-        self.spin(lambda: self.program.leaving.away)
+        self.spin(lambda: self.program.shutdown.unavailable)
         theirs.close()
         ours.close()
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -302,7 +302,7 @@
                 self.watch.say(json.dumps(self.table(0, 1, rev=2)))
                 self.rest(0.05)
             else:
-                self.program.leaving.leave()
+                self.program.shutdown.begin()
 
     def test_a_drain_still_accepts_then_closes_idle_clients_and_finishes_what_was_taken(self) -> None:
         stopped = mock.Mock()
@@ -310,7 +310,7 @@
         idle = self.client()
         taken = self.ask()
         server = self.dispatched()
-        self.program.leaving.leave()
+        self.program.shutdown.begin()
         self.rest(0.3)
         late = self.client()
         late.sock.sendall(b"GET /healthz HTTP/1.1\r\nHost: o\r\n\r\n")
@@ -349,11 +349,11 @@
         ):
             early = self.ask()
             self.dispatched()
-            self.program.leaving.leave()
+            self.program.shutdown.begin()
             late = self.ask(name="id-2")
             self.dispatched()
             self.assertEqual(self.status(late), 500)
-            self.assertLess(self.loop.now, self.program.leaving.since + self.front._last + 200_000)
+            self.assertLess(self.loop.now, self.program.shutdown.signalled_at + self.front._last + 200_000)
         self.assertEqual(early.read(), b"")
 
 
