Split the checks of a client's request from the frontend

Moved without a change of behaviour but that a job is built before its id is looked up; one test patches the new place.

--- a/heronstall/net/frontend.py
+++ b/heronstall/net/frontend.py
@@ -4,7 +4,6 @@
 
 import contextlib
 import logging
-import re
 import socket
 from collections.abc import Callable
 from http import HTTPStatus
@@ -18,6 +17,7 @@
 from heronstall.config import Config
 from heronstall.events import say
 from heronstall.net.backend import Job
+from heronstall.net.client_request import BadRequest, RequestCheck, check_framing, job_of
 from heronstall.net.connection import BODY_LIMIT, Connection, Ended, Ending, listen, shut_writing
 from heronstall.net.dispatcher import Answer, Dispatcher
 from heronstall.net.loop import LEFT, READ, Coroutine, Loop, Task, sleep
@@ -47,18 +47,6 @@
 # more. What came later than 0.7 s and has no answer then is lost: so whoever comes late is answered before.
 KILL_AFTER, LONGEST_DEADLINE = 700_000, 3_000_000
 LATE, BEFORE_KILL = 600_000, 200_000
-PATH, HEALTH = b"/api", b"/healthz"
-# Twice the same of these and two readers may each believe another one: such a request is passed to nobody.
-ONCE = re.compile(rb"(content-length|transfer-encoding|cookie|idempotency-key|expect|req-[a-z-]+)\Z")
-LENGTH = re.compile(rb"^content-length[ \t]*:([^\r\n]*)", re.IGNORECASE | re.MULTILINE)
-HEAD_END = re.compile(rb"\n\r?\n")
-ID = re.compile(rb"[!-~]{1,128}\Z")
-DEADLINE = re.compile(rb"[0-9]{1,7}(\.[0-9]*)?\Z")
-# Framing and hop-by-hop headers are ours to set; everything else passes through.
-OWN = frozenset(
-    b"connection content-length transfer-encoding keep-alive te trailer upgrade proxy-connection expect"
-    b" req-deadline".split()
-)
 TEXT = (b"Content-Type", b"text/plain; charset=utf-8")
 REASON = {status.value: status.phrase.encode() for status in HTTPStatus}
 log = logging.getLogger("heronstall.frontend")
@@ -67,14 +55,6 @@
 Incoming = tuple[h11.Request, "i.Arrival | None", bytes]
 
 
-class BadRequest(Exception):
-    """Input that never reaches a backend server."""
-
-    def __init__(self, status: int, text: str) -> None:
-        super().__init__(text)
-        self.status = status
-
-
 class Frontend:
     """Accepts clients, reads their requests and gives each one final answer."""
 
@@ -89,6 +69,7 @@
         listener: socket.socket | None = None,
     ) -> None:
         self._config, self._loop, self._dispatcher = config, loop, dispatcher
+        self._requests = RequestCheck(config)
         self._ready, self._shutdown = ready, shutdown
         shutdown.close_idle, shutdown.close_up = self._close_idle, self._close_up
         self._clients: dict[Connection, Task] = {}
@@ -315,9 +296,9 @@
                 event = yield from connection.event(until)
                 if isinstance(event, h11.Request):
                     request = event
-                    _framing(connection.head, event)
+                    check_framing(connection.head, event)
                     try:
-                        arrival = self._check(event)
+                        arrival = self._requests.arrival(event)
                     except BadRequest as bad:
                         wrong = bad
                     if connection.parser.they_are_waiting_for_100_continue:
@@ -403,64 +384,18 @@
 
         Guards the backend servers against a second copy: to them, whatever bears the id is that request.
         """
-        name = dict(request.headers)[b"req-id"]
+        job = job_of(request, body)
+        name = job.id.encode("latin-1")
         if name in self._ids:
             raise BadRequest(400, "Req-Id: another request has it")
         self._remember(name)
-        passed = [(field, value) for field, value in request.headers.raw_items() if field.lower() not in OWN]
-        return Job(name.decode("latin-1"), request.method, request.target, passed, body)
+        return job
 
     def _remember(self, name: bytes) -> None:
         self._ids[name] = None
         if len(self._ids) > IDS_KEPT:
             del self._ids[next(iter(self._ids))]
 
-    def _check(self, request: h11.Request) -> i.Arrival | None:
-        """What a head asks for; None for /healthz. Raises BadRequest for one that can't be used."""
-        path = request.target.partition(b"?")[0]
-        if path == HEALTH:
-            if request.method != b"GET":
-                raise BadRequest(405, "GET only")
-            return None
-        if path != PATH:
-            raise BadRequest(404, "no such path")
-        if request.method != b"POST":
-            raise BadRequest(405, "POST only")
-        names = [name for name, _ in request.headers if ONCE.match(name)]
-        if len(names) > len(set(names)):
-            raise BadRequest(400, f"{next(n for n in names if names.count(n) > 1).decode()}: more than once")
-        return self._arrival(dict(request.headers))
-
-    def _arrival(self, headers: dict[bytes, bytes]) -> i.Arrival:
-        config = self._config
-        cls = config.classes.get(headers.get(b"req-kind", b"").decode("latin-1"))
-        if cls is None:
-            raise BadRequest(400, "Req-Kind: no known class")
-        deadline = headers.get(b"req-deadline", b"")
-        if not DEADLINE.match(deadline):
-            raise BadRequest(400, "Req-Deadline: seconds are wanted")
-        if not ID.match(headers.get(b"req-id", b"")):
-            raise BadRequest(400, "Req-Id: missing, too long or not plain text")
-        if config.settings.classes[cls].effect == "keyed" and not headers.get(b"idempotency-key"):
-            raise BadRequest(400, "Idempotency-Key: missing, and the class is keyed")
-        extra = dict(part.partition(b"=")[::2] for part in headers.get(b"req-extra", b"").split(b","))
-        cookies = (part.strip().partition(b"=") for part in headers.get(b"cookie", b"").split(b";"))
-        keys = [value.decode("latin-1") for crumb, _, value in cookies if crumb == b"obj"]
-        if len(keys) > 1:
-            raise BadRequest(400, "Cookie: obj more than once")
-        return i.Arrival(
-            request=0,
-            cls=cls,
-            # No client waits longer than its class allows; the decisions learn from the longest wait.
-            time_left=min(int(float(deadline) * 1e6), config.settings.classes[cls].deadline),
-            tenant=config.tenants.get(headers.get(b"req-owner", b"").decode("latin-1"), -1),
-            key=keys[0] if keys else None,
-            work=int(_figure(headers.get(b"req-cost"), 0.0)) or None,
-            slots=_figure(extra.get(b"slots"), 0.0) or 1.0,
-            memory=_figure(extra.get(b"memory"), 0.0),
-            retry=headers.get(b"req-retry") == b"1",
-        )
-
     # ------------------------------------------------------------------ answers
 
     def _give(self, connection: Connection, answer: Answer) -> Coroutine[None]:
@@ -534,22 +469,3 @@
         for _ in range(READ_OFF):
             if not sock.recv_into(SCRAP):
                 return
-
-
-def _framing(head: bytes, request: h11.Request) -> None:
-    """Raise BadRequest unless there is one way only to say where the body ends.
-
-    Guards against a request that hides in the body of another: a length beside an encoding, or a second
-    length, lets two readers disagree. h11 takes the encoding, and folds equal lengths into one.
-    """
-    lengths = LENGTH.findall(HEAD_END.split(head, 1)[0])
-    encoded = any(name == b"transfer-encoding" for name, _ in request.headers)
-    if len(lengths) + encoded > 1 or any(b"," in length for length in lengths):
-        raise BadRequest(400, "more than one way to tell the body's length")
-    if lengths and (len(lengths[0].strip()) > 9 or int(lengths[0]) > BODY_LIMIT):
-        raise BadRequest(413, "body over 64 KiB")
-
-
-def _figure(text: bytes | None, default: float) -> float:
-    """A figure that is only a help: what is not one counts as absent."""
-    return float(text) if text is not None and DEADLINE.match(text) else default
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -451,7 +451,8 @@
             server.sock.sendall(STREAM)
             server.say("{}")
             self.assertEqual(self.status(client), 500)
-        with mock.patch("heronstall.net.frontend.Frontend._arrival", side_effect=RuntimeError("bug")):
+        failing = RuntimeError("bug")
+        with mock.patch("heronstall.net.client_request.RequestCheck._arrival", side_effect=failing):
             broken = self.ask(name="id-2")
             self.spin(lambda: broken.read() == b"" and broken.closed)
         with mock.patch.object(
