Split the server table's taking of a list into steps, with typed rows

Change: a row is a NamedTuple; whole lists, relayed rows, merging, adding and forgetting are a step each. Behaviour as before.

--- a/heronstall/net/server_table.py
+++ b/heronstall/net/server_table.py
@@ -5,7 +5,7 @@
 import logging
 import random
 from collections.abc import Callable
-from typing import Any, Literal, Protocol, cast
+from typing import Any, Literal, NamedTuple, Protocol, cast
 from zlib import crc32
 
 import h11
@@ -96,6 +96,17 @@
         return entry
 
 
+class _Row(NamedTuple):
+    """One entry of a list, read."""
+
+    told: Any  # in discovery's form
+    uid: str
+    endpoint: Address
+    boot_ms: int
+    state: Literal["active", "leaving", "left"]
+    entry: i.WorkerEntry
+
+
 class Sources(Protocol):
     """Where the list may come from beside discovery; what peers bring (`heronstall.net.peers`)."""
 
@@ -405,65 +416,84 @@
         """
         try:
             rev, whole = int(message["rev"]), bool(message["all"])
-            rows = [(row, *self._entry(row)) for row in message["targets"]]
+            rows = [self._row(told) for told in message["targets"]]
         except (KeyError, TypeError, ValueError, AttributeError, OverflowError, ConfigError) as error:
             raise Ended(Ending.MALFORMED, f"malformed server list: {error!r}") from None
-        now = self._loop.now
-        if relayed and not self.same_endpoints:
-            if whole:
-                self.beyond.clear()
-            for told, uid, _, _, state, _ in rows:
-                self.beyond.pop(uid, None)
-                if uid not in self._by_uid and state != "left":
-                    self.beyond[uid] = told
-            rows = [self._as_here(row) for row in rows if row[1] in self._by_uid]
-        elif whole:
+        if whole:
             self.beyond.clear()
+        if relayed and not self.same_endpoints:
+            rows = self._known_here(rows)
         if whole:
-            named = {row[1] for row in rows}
-            for uid, old in self._by_uid.items():
-                if uid not in named:  # missing from a whole list: gone
-                    old.listed_off = now if old.listed_off is None else old.listed_off
-                    old.entry = old.entry._replace(state="left")
-        entries = []
-        for row, uid, endpoint, boot_ms, state, entry in rows:
-            server = self._by_uid.get(uid)
-            if server is None:
-                server = self._by_uid[uid] = BackendServer(self._next, uid, endpoint, boot_ms, entry)
-                self.by_number[self._next] = server
-                self._next += 1
-                self._ever[uid] = None
-                self.beyond.pop(uid, None)
-                if len(self._ever) > EVER:
-                    del self._ever[next(iter(self._ever))]
-                self._look_up(server)
-            elif (server.endpoint, server.boot_ms) != (endpoint, boot_ms):
-                # Guards against writing to the old process, or the old address, of a server that came back.
-                server.endpoint, server.boot_ms = endpoint, boot_ms
-                self.moved(server)
-            elif newest is not None and rev < newest and server.listed_off is not None and state == "active":
-                state, entry = server.entry.state, entry._replace(state=server.entry.state)
-            if state == "active":
-                server.listed_off = None
-            elif server.listed_off is None:
-                server.listed_off = now
-            server.row = row
-            server.entry = entry._replace(worker=server.number)
-            entries.append(server.told())
-        for old in list(self._by_uid.values()):
-            if old.listed_off is not None and now - old.listed_off > FORGET:
-                del self._by_uid[old.uid], self.by_number[old.number]
+            self._drop_unnamed({row.uid for row in rows})
+        older = newest is not None and rev < newest
+        entries = tuple(self._merge(row, older).told() for row in rows)
+        self._forget_gone()
         if entries or whole:
             scope = "persisted" if persisted else "complete" if whole else "changes"
-            self._told(i.WorkerList(cast(Any, scope), tuple(entries)))
+            self._told(i.WorkerList(cast(Any, scope), entries))
         return rev
 
-    def _as_here(self, row: Any) -> Any:
-        told, uid, _, *rest = row
-        host, port = endpoint = self._by_uid[uid].endpoint
-        return {**told, "endpoint": f"{host}:{port}"}, uid, endpoint, *rest
-
-    def _entry(self, row: Any) -> tuple[str, Address, int, str, i.WorkerEntry]:
+    def _known_here(self, rows: list[_Row]) -> list[_Row]:
+        """The rows of servers whose endpoints are known here; those of others are kept for whoever asks."""
+        for row in rows:
+            self.beyond.pop(row.uid, None)
+            if row.uid not in self._by_uid and row.state != "left":
+                self.beyond[row.uid] = row.told
+        return [self._as_here(row) for row in rows if row.uid in self._by_uid]
+
+    def _drop_unnamed(self, named: set[str]) -> None:
+        """Servers missing from a whole list are gone."""
+        for uid, server in self._by_uid.items():
+            if uid not in named:
+                server.listed_off = self._loop.now if server.listed_off is None else server.listed_off
+                server.entry = server.entry._replace(state="left")
+
+    def _merge(self, row: _Row, older: bool) -> BackendServer:
+        """Put a row to the server that it names."""
+        server = self._by_uid.get(row.uid)
+        state, entry = row.state, row.entry
+        if server is None:
+            server = self._add(row)
+        elif (server.endpoint, server.boot_ms) != (row.endpoint, row.boot_ms):
+            # Guards against writing to the old process, or the old address, of a server that came back.
+            server.endpoint, server.boot_ms = row.endpoint, row.boot_ms
+            self.moved(server)
+        elif older and server.listed_off is not None and state == "active":
+            state = server.entry.state
+            entry = entry._replace(state=state)
+        if state == "active":
+            server.listed_off = None
+        elif server.listed_off is None:
+            server.listed_off = self._loop.now
+        server.row = row.told
+        server.entry = entry._replace(worker=server.number)
+        return server
+
+    def _add(self, row: _Row) -> BackendServer:
+        """A server that is named for the first time, or again after it was forgotten."""
+        server = BackendServer(self._next, row.uid, row.endpoint, row.boot_ms, row.entry)
+        self._by_uid[row.uid] = self.by_number[self._next] = server
+        self._next += 1
+        self._ever[row.uid] = None
+        self.beyond.pop(row.uid, None)
+        if len(self._ever) > EVER:
+            del self._ever[next(iter(self._ever))]
+        self._look_up(server)
+        return server
+
+    def _forget_gone(self) -> None:
+        """Servers that have been off for long lose their numbers."""
+        for server in list(self._by_uid.values()):
+            if server.listed_off is not None and self._loop.now - server.listed_off > FORGET:
+                del self._by_uid[server.uid], self.by_number[server.number]
+
+    def _as_here(self, row: _Row) -> _Row:
+        """A row told to another dispatcher, with the endpoint that is known here."""
+        host, port = endpoint = self._by_uid[row.uid].endpoint
+        return row._replace(told={**row.told, "endpoint": f"{host}:{port}"}, endpoint=endpoint)
+
+    def _row(self, row: Any) -> _Row:
+        """One entry of a list. Raises what a malformed one brings."""
         uid, boot_ms = str(row["uid"]), int(row.get("boot_ms") or 0)
         state = STATES.get(row["state"])
         if state is None:
@@ -482,7 +512,7 @@
             started_at=started,
             mark=crc32(uid.encode()),
         )
-        return uid, endpoint, boot_ms, state, entry
+        return _Row(row, uid, endpoint, boot_ms, state, entry)
 
 
 def _unanswered(connection: Connection, ended: Ended) -> bool:
