Close a connection that comes to rest only after the others were closed

Seen in the review: a connection whose task waits for its turn while resting ones are closed after SIGTERM is in none of the rows that are looked at; it then rests for up to 120 s, and the process lives until SIGKILL. At fault: Frontend._serve, which gave it the idle time of a running process. Change: once closing, it waits no longer than an unproven one.

--- a/heronstall/net/frontend.py
+++ b/heronstall/net/frontend.py
@@ -257,7 +257,9 @@
                     row = self._idle if proven else self._unproven
                     row[connection] = None
                     connection.idle_since = self._loop.now
-                    yield from connection.more(self._loop.now + IDLE_TIME if proven else until)
+                    # Once closing, a connection that comes to rest only now was passed over by `_close_up`.
+                    may_rest = proven and not self._closing
+                    yield from connection.more(self._loop.now + IDLE_TIME if may_rest else until)
                     row.pop(connection, None)
                 if proven:
                     until = self._loop.now + REQUEST_TIME
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -263,6 +263,17 @@
         self.assertEqual(self.status(client), 200)
         self.assertIn(b"Connection: close", client.got)
 
+    def test_a_connection_that_comes_to_rest_after_the_close_does_not_hold_the_exit(self) -> None:
+        client = self.ask()
+        end = self.dispatched()
+        self.front._closing = True  # this connection was not at rest when the others were closed
+        end.sock.sendall(answer("id-1"))
+        self.assertEqual(self.status(client), 200)
+        self.assertNotIn(b"Connection: close", client.got)
+        began = time.monotonic()
+        self.spin(lambda: self.gone(client))
+        self.assertLess(time.monotonic() - began, 4)
+
     def test_a_request_that_crosses_the_close_of_a_resting_connection_meets_no_reset(self) -> None:
         client = self.client()
         self.spin(lambda: self.front._unproven)
