--- a/tests/test_acceptance_table.py
+++ b/tests/test_acceptance_table.py
@@ -37,6 +37,7 @@
         entry(head="0000000"),
         entry(at=["2025-01-01T00:00:00Z", ""]),
         entry(argv=["site.toml", "--day", "5"]),
+        entry(days=[{"name": "hand", "score": 0.9}]),
         entry(argv=["site.toml", "--quick"], days=[{"name": "calm-1", "gate": None, "score": 0.4}]),
     ]
     for number, one in enumerate(entries):
