--- a/heronstall/config.py
+++ b/heronstall/config.py
@@ -310,3 +310,97 @@
         told=ujson.dumps(told),
         operator=None if t.get("operator") is None else address(t.text("operator"), "operator"),
     )
+
+
+@dataclass(frozen=True)
+class NodeBounds:
+    """Figures that the rules name; times in seconds."""
+
+    contact: float
+    ack: float
+    catch_up: float
+    grace: float
+    max_skew: float
+    status: float
+    settle: float
+    drain: float
+
+
+@dataclass(frozen=True)
+class NodeSettings:
+    """What a process of the tier is told at its start."""
+
+    name: str
+    role: str
+    machine_class: str
+    ip: str
+    zone: str
+    region: str
+    zones: Mapping[str, str]
+    listen: Mapping[str, str]
+    port: int  # for messages between nodes; the same on all machines
+    seeds: tuple[str, ...]
+    bootstrap: bool
+    data_dir: str | None
+    heartbeat: float
+    machines_lost: int  # counted machines that may be lost at once
+    memory_mb: int
+    disk_mb: int
+    max_fds: int
+    bounds: NodeBounds
+
+
+def node_settings(path: str) -> NodeSettings:
+    """Read a tier process's settings file. Raises ConfigError, which names the key at fault."""
+    try:
+        raw = ujson.loads(Path(path).read_bytes())
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from error
+    table = _Table(raw)
+    ports = table.get("port_range")
+    if not isinstance(ports, list) or not ports or not all(isinstance(p, int) for p in ports):
+        raise ConfigError("port_range: a list of two ports is wanted")
+    seeds = table.get("seed_nodes", [])
+    if not isinstance(seeds, list) or not all(isinstance(s, str) and ":" in s for s in seeds):
+        raise ConfigError("seed_nodes: a list of addresses is wanted")
+    listen = table.get("listen", {})
+    if not isinstance(listen, dict) or not all(isinstance(a, str) and ":" in a for a in listen.values()):
+        raise ConfigError("listen: addresses by name are wanted")
+    zones = table.get("zones", {})
+    if not isinstance(zones, dict):
+        raise ConfigError("zones: regions by zone are wanted")
+    limits = _Table(table.get("limits", {}), "limits")
+    tolerance = _Table(table.get("fault_tolerance", {}), "fault_tolerance")
+    return NodeSettings(
+        name=table.text("node_name"),
+        role=table.text("role"),
+        machine_class=table.text("machine_class"),
+        ip=table.text("ip"),
+        zone=table.text("zone"),
+        region=table.text("region", "-"),
+        zones=zones,
+        listen=listen,
+        port=ports[0],
+        seeds=tuple(seeds),
+        bootstrap=table.flag("bootstrap"),
+        data_dir=table.get("data_dir"),
+        heartbeat=table.number("heartbeat_ms", 1000) / 1000,
+        machines_lost=tolerance.whole("machines", 1),
+        memory_mb=limits.whole("memory_mb", 256),
+        disk_mb=limits.whole("disk_mb", 0),
+        max_fds=limits.whole("max_fds", 1024),
+        bounds=_node_bounds(_Table(table.get("bounds", {}), "bounds")),
+    )
+
+
+def _node_bounds(bounds: _Table) -> NodeBounds:
+    return NodeBounds(
+        contact=bounds.number("contact_ms", 3000) / 1000,
+        ack=bounds.number("ack_ms", 4000) / 1000,
+        catch_up=bounds.number("catch_up_s", 5),
+        grace=bounds.number("grace_s", 8),
+        max_skew=bounds.number("max_skew_ms", 5000) / 1000,
+        status=bounds.number("status_s", 120),
+        settle=bounds.number("settle_ms", 1000) / 1000,
+        drain=bounds.number("drain_ms", 2000) / 1000,
+    )
--- /dev/null
+++ b/heronstall/controlplane/api.py
@@ -0,0 +1,233 @@
+"""The HTTP interface of a core node: the operator's API and the workers' heartbeats."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import structlog
+import ujson
+from aiohttp import web
+from result import Err
+
+from heronstall.controlplane.core import Core
+from heronstall.controlplane.state import worker_shard
+from heronstall.controlplane.state.config_shard import Command, StoreStage, command
+from heronstall.controlplane.state.operator_config import (
+    ConfigFault,
+    Document,
+    canonical,
+    checked,
+    patched,
+    read_object,
+)
+from heronstall.distribution.shards import BATCH_SHARDS, CONFIG, WORKER_SHARDS, worker_shard as shard_of
+from heronstall.transport.messages import ConfigChange, StoreNode, Worker
+
+log = structlog.get_logger()
+
+BEAT_BYTES = 4096  # of a heartbeat's answer at the most; of its body much less is used
+CONFIG_BYTES = 64 * 1024 * 1024
+LATER = 0.3  # seconds after which an unsure caller had best come again
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+def answer(status: int, body: Document | None = None) -> web.Response:
+    """A JSON answer."""
+    text = ujson.dumps(body if body is not None else {}, escape_forward_slashes=False)
+    return web.Response(status=status, text=text, content_type="application/json")
+
+
+def unsure(text: str) -> web.Response:
+    """This node can't say; another may."""
+    response = answer(503, {"error": text})
+    response.headers["Retry-After"] = str(LATER)
+    return response
+
+
+class ControlApi:
+    """Answers calls to `/-/` on the control address."""
+
+    def __init__(self, core: Core) -> None:
+        self._core = core
+        self._changing = asyncio.Lock()
+        self._control_port = core.settings.listen["control"].rpartition(":")[2]
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one call."""
+        path, method = request.path, request.method
+        if path == "/-/config":
+            return await self._config(request, method)
+        if path.startswith("/-/instances/"):
+            return await self._instance(request, method, path.removeprefix("/-/instances/"))
+        if path.startswith("/-/retire/"):
+            return await self._retire(method, path.removeprefix("/-/retire/"), request)
+        if path == "/-/readyz":
+            return answer(200)
+        return answer(404, {"error": "no such path"})
+
+    def _elsewhere(self, group: str, request: web.BaseRequest) -> web.Response:
+        """Send the caller to the group's leader, or away."""
+        address = self._core.leader_address(group)
+        if address is None:
+            return unsure("no leader is known here")
+        response = answer(307)
+        host = address.rpartition(":")[0]
+        response.headers["Location"] = f"http://{host}:{self._control_port}{request.raw_path}"
+        return response
+
+    # ------------------------------------------------------------------ configuration
+
+    async def _config(self, request: web.BaseRequest, method: str) -> web.StreamResponse:
+        if not self._core.leads(CONFIG):
+            return self._elsewhere(CONFIG, request)
+        if method == "GET":
+            return self._read_config()
+        if method not in ("PUT", "PATCH"):
+            return answer(405, {"error": "GET, PUT or PATCH is wanted"})
+        body = await request.read()
+        async with self._changing:
+            if not self._core.leads(CONFIG):
+                return self._elsewhere(CONFIG, request)
+            return await self._change(method, request.headers.get("If-Match", ""), body)
+
+    def _read_config(self) -> web.Response:
+        document = self._core.config.state.document
+        if not document:
+            return unsure("no configuration yet")
+        return web.Response(body=document, content_type="application/json")
+
+    async def _change(self, method: str, base_text: str, body: bytes) -> web.StreamResponse:
+        state = self._core.config.state
+        parsed = read_object(body)
+        if isinstance(parsed, Err):
+            return self._refused(*parsed.err_value)
+        given = parsed.ok_value
+        digest = hashlib.sha256(method.encode() + base_text.encode() + canonical(given)).hexdigest()[:32]
+        if digest in state.digests:
+            return answer(200, {"revision": state.revision})  # it was taken
+        base = int(base_text.strip('" ')) if base_text.strip('" ').isdigit() else None
+        if base is None or base != state.revision:
+            return self._refused(ConfigFault.WRONG_BASE, f"revision {state.revision} is current")
+        document = given
+        if method == "PATCH":
+            made = patched(self._core.config.document, given)
+            if isinstance(made, Err):
+                return self._refused(*made.err_value)
+            document = made.ok_value
+        valid = checked(document, state.revision)
+        if isinstance(valid, Err):
+            return self._refused(*valid.err_value)
+        text = ujson.dumps(document, escape_forward_slashes=False).encode()
+        change = ConfigChange(base, valid.ok_value.revision, text, digest)
+        done = await self._core.commit(CONFIG, command(Command.CHANGE, change))
+        if not done:
+            return answer(500, {"error": "it may or may not have been taken"})
+        log.info("configuration taken", revision=change.revision)
+        return answer(200, {"revision": change.revision})
+
+    @staticmethod
+    def _refused(code: ConfigFault, text: str) -> web.Response:
+        log.info("configuration refused", code=int(code), why=text)
+        status = 412 if code == ConfigFault.WRONG_BASE else 400
+        return answer(status, {"code": int(code), "error": text})
+
+    # ------------------------------------------------------------------ workers
+
+    async def _instance(self, request: web.BaseRequest, method: str, worker: str) -> web.StreamResponse:
+        if method == "DELETE":
+            return await self._leave(request, worker)
+        if method != "PUT":
+            return answer(405, {"error": "PUT or DELETE is wanted"})
+        parsed = read_object(await request.read())
+        if isinstance(parsed, Err):
+            return answer(400, {"error": parsed.err_value[1]})
+        beat = _worker(worker, parsed.ok_value)
+        if beat is None:
+            return answer(400, {"error": "service, address and state are wanted"})
+        group = shard_of(beat.service)
+        if not self._core.leads(group):
+            return self._elsewhere(group, request)
+        shard = self._core.workers[group]
+        self._core.heard[worker] = self._core.host.now()
+        known = shard.workers.get(worker)
+        if _changed(known, beat) and not shard.is_gone(worker):
+            if await self._core.commit(group, worker_shard.put(beat)) is None:
+                return unsure("not known to be kept")
+        return answer(200, {"heartbeat_url": self._core.settings.listen["control"]})
+
+    async def _leave(self, request: web.BaseRequest, worker: str) -> web.StreamResponse:
+        held = [name for name, shard in self._core.workers.items() if worker in shard.workers]
+        groups = held or list(WORKER_SHARDS)
+        for group in groups:
+            if not self._core.leads(group):
+                return self._elsewhere(group, request)
+            gone = worker_shard.remove(worker_shard.Command.REMOVE, worker)
+            if not self._core.workers[group].is_gone(worker) and held:
+                if await self._core.commit(group, gone) is None:
+                    return unsure("not known to be kept")
+        return answer(200)
+
+    # ------------------------------------------------------------------ storage nodes
+
+    async def _retire(self, method: str, node: str, request: web.BaseRequest) -> web.StreamResponse:
+        core = self._core
+        if not core.leads(CONFIG):
+            return self._elsewhere(CONFIG, request)
+        known = core.config.store(node)
+        if known is None:
+            return answer(404, {"error": "no such storage node"}) if core.settled() else unsure("just started")
+        if method == "GET":
+            succeeded = known.stage == StoreStage.RETIRED
+            return answer(200, {"state": "succeeded" if succeeded else "active"})
+        if method != "POST":
+            return answer(405, {"error": "GET or POST is wanted"})
+        if known.stage != StoreStage.ACTIVE:
+            return answer(200)
+        if not core.settled():
+            return unsure("just started")
+        live = core.live_stores()
+        staying = [s for s in core.config.state.stores if s.stage == StoreStage.ACTIVE and s.replica in live]
+        if len([s for s in staying if s.name != node]) < core.copies:
+            return answer(409, {"error": f"{core.copies} storage nodes must remain"})
+        retiring = StoreNode(known.name, known.replica, known.zone, StoreStage.RETIRING)
+        if await core.commit(CONFIG, command(Command.STORE, retiring)) is None:
+            return answer(500, {"error": "it may or may not have been taken"})
+        log.info("retiring", node=node, shards=len(BATCH_SHARDS))
+        return answer(200)
+
+
+def _worker(name: str, beat: Document) -> Worker | None:
+    """A worker as its heartbeat tells; None where a field has the wrong type."""
+    texts: dict[str, Any] = {key: beat.get(key, "") for key in ("service", "address", "zone", "state", "revision")}
+    if not all(isinstance(v, str) for v in texts.values()) or not texts["service"]:
+        return None
+    if ":" not in texts["address"] or texts["state"] not in ("ready", "draining"):
+        return None
+    numbers = [beat.get(key, 0) for key in ("capacity", "sequence", "cold_remaining_ms")]
+    if not all(isinstance(n, (int, float)) and not isinstance(n, bool) and n >= 0 for n in numbers):
+        return None
+    return Worker(
+        id=name,
+        service=texts["service"],
+        address=texts["address"],
+        zone=texts["zone"],
+        state=texts["state"],
+        capacity=int(numbers[0]),
+        sequence=int(numbers[1]),
+        revision=texts["revision"],
+        cold_ms=int(numbers[2]),
+    )
+
+
+def _changed(known: Worker | None, beat: Worker) -> bool:
+    """Whether a heartbeat says anything that dispatchers must know."""
+    if known is None:
+        return True
+    if beat.sequence < known.sequence:
+        return False
+    told = (beat.service, beat.address, beat.zone, beat.state, beat.capacity, beat.revision)
+    return told != (known.service, known.address, known.zone, known.state, known.capacity, known.revision)
--- /dev/null
+++ b/heronstall/controlplane/core.py
@@ -0,0 +1,306 @@
+"""A core node: the shards of the control state, sessions, and the chores of their leaders."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from pathlib import Path
+
+import structlog
+
+from heronstall.config import NodeSettings
+from heronstall.controlplane.hosting import GroupHost, Superseded
+from heronstall.controlplane.state import worker_shard
+from heronstall.controlplane.state.config_shard import Command, ConfigShard, StoreStage, command
+from heronstall.controlplane.state.worker_shard import WorkerShard
+from heronstall.distribution.shards import BATCH_SHARDS, CONFIG, WORKER_SHARDS
+from heronstall.ownership.placement import Candidate, first_placement, repaired
+from heronstall.replication import membership
+from heronstall.replication.protocol import Timing, address_of
+from heronstall.replication.replica import Replica
+from heronstall.sessions.table import EXPIRE, Sessions
+from heronstall.transport.frames import Kind, Status
+from heronstall.transport.links import Links, LinkServer, Reply
+from heronstall.transport.messages import (
+    Placement,
+    SessionTable,
+    StoreNode,
+    SyncReply,
+    SyncRequest,
+)
+
+log = structlog.get_logger()
+
+CHORES = 0.3  # seconds between rounds of chores
+FRESH = 1.0  # seconds without the leader after which nothing is told to readers
+SETTLE = EXPIRE + 0.5  # seconds of leading before a silent node counts as dead
+GATHER = 1.0  # seconds that a first placement waits for more storage nodes
+LOG_LIMIT = 8 * 1024 * 1024  # bytes of log before a slot is written
+COMMIT_WITHIN = 2.5  # seconds
+SILENT_BEATS = 3.2  # heartbeats that a worker may miss
+
+
+class Core:
+    """All that a core node holds and does, but for its HTTP interface."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self.settings = settings
+        self.timing = Timing()
+        self.links = Links()
+        self.address = f"{settings.ip}:{settings.port}"
+        self.sessions = Sessions()
+        self.config = ConfigShard()
+        self.workers = {name: WorkerShard() for name in WORKER_SHARDS}
+        self.heard: dict[str, float] = {}  # by worker: its latest heartbeat at this node
+        assert settings.data_dir is not None
+        limit = min(LOG_LIMIT, settings.disk_mb * 1024 * 1024 // 8)
+        self.host = GroupHost(
+            self.address, Path(settings.data_dir), self.links, self.timing, settings.bootstrap, limit
+        )
+        self.host.on_applied = self._applied
+        self.host.on_role = self._role
+        self._server = LinkServer(self._serve, self._one_way)
+        self._news = asyncio.Event()
+        self._led_since: dict[str, float] = {}
+        self._placing_since: float | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Join the groups and begin to serve other nodes."""
+        seeds = [f"{seed.rpartition(':')[0]}:{self.settings.port}" for seed in self.settings.seeds]
+        known = set(self.host.recovered_groups)
+        self.host.add(CONFIG, self.config)
+        for name, shard in self.workers.items():
+            self.host.add(name, shard)
+        for group, hosted in self.host.groups.items():
+            forms = self.settings.bootstrap and self.address in seeds and group not in known
+            if forms and self.host.me.endswith("#0"):
+                hosted.replica.form(self.host.now(), tuple(sorted(f"{s}#0" for s in seeds)))
+        self.host.flush()
+        await self._server.listen(self.settings.ip, self.settings.port)
+        self._tasks = [asyncio.create_task(self.host.run()), asyncio.create_task(self._chores())]
+
+    async def stop(self) -> None:
+        """Hand the leaderships over and end."""
+        for hosted in self.host.groups.values():
+            hosted.replica.hand_over(self.host.now())
+        self.host.flush()
+        await asyncio.sleep(0.2)
+        for task in self._tasks:
+            task.cancel()
+        self._server.close()
+
+    # ------------------------------------------------------------------ what the interface asks
+
+    def replica(self, group: str) -> Replica:
+        """This node's replica of a group."""
+        return self.host.groups[group].replica
+
+    def leads(self, group: str) -> bool:
+        """Whether this node may answer for a group."""
+        return self.replica(group).holds_lease(self.host.now())
+
+    def leader_address(self, group: str) -> str | None:
+        """Internal address of a group's leader, where it is known and another node."""
+        hint = self.replica(group).leader_hint(self.host.now())
+        return address_of(hint) if hint and hint != self.host.me else None
+
+    async def commit(self, group: str, data: bytes) -> bool | None:
+        """Commit a command: what it did, or None where that is not known."""
+        try:
+            return bool(await self.host.propose(group, data, COMMIT_WITHIN))
+        except (Superseded, TimeoutError):
+            return None
+
+    def live_stores(self) -> set[str]:
+        """Replica identities of the storage nodes that have a session."""
+        return {s.replica for s in self.sessions.live(self.host.now(), "storage").values()}
+
+    @property
+    def copies(self) -> int:
+        """Replicas of a batch shard that the tolerated losses need."""
+        return 2 * self.settings.machines_lost + 1
+
+    def settled(self) -> bool:
+        """Whether this node has led long enough to know which storage nodes live."""
+        since = self._led_since.get(CONFIG)
+        return since is not None and self.host.now() - since > SETTLE
+
+    # ------------------------------------------------------------------ other nodes
+
+    async def _serve(self, kind: Kind, body: bytes) -> Reply:
+        if kind == Kind.SYNC:
+            return await self._sync(SyncRequest().parse(body))
+        return Reply(Status.REFUSED)
+
+    def _one_way(self, kind: Kind, body: bytes) -> None:
+        if kind == Kind.GROUP:
+            self.host.receive(body)
+        elif kind == Kind.SESSIONS:
+            self.sessions.merge(self.host.now(), SessionTable().parse(body).sessions)
+
+    async def _sync(self, request: SyncRequest) -> Reply:
+        self.sessions.renew(self.host.now(), request.session)
+        versions = {v.shard: v.version for v in request.versions}
+        deadline = self.host.now() + request.wait_ms / 1000
+        while True:
+            if not self._fresh():
+                return Reply(Status.UNSURE)
+            news = self._news_since(versions)
+            left = deadline - self.host.now()
+            if news or left <= 0:
+                return Reply(Status.OK, bytes(self._sync_reply(versions)))
+            try:
+                async with asyncio.timeout(min(left, FRESH / 2)):
+                    await self._news.wait()
+            except TimeoutError:
+                continue
+
+    def _fresh(self) -> bool:
+        now = self.host.now()
+        return all(h.replica.in_touch(now, FRESH) for h in self.host.groups.values())
+
+    def _news_since(self, versions: dict[str, int]) -> bool:
+        state = self.config.state
+        return (
+            state.config_version > versions.get("config", 0)
+            or state.placement_version > versions.get("placement", 0)
+            or any(w.version > versions.get(name, 0) for name, w in self.workers.items())
+        )
+
+    def _sync_reply(self, versions: dict[str, int]) -> SyncReply:
+        state = self.config.state
+        reply = SyncReply(config_version=state.config_version, placement_version=state.placement_version)
+        if state.config_version > versions.get("config", 0):
+            reply.document = state.document
+        if state.placement_version > versions.get("placement", 0):
+            reply.placements = state.placements
+        for name, shard in self.workers.items():
+            delta = shard.since(name, versions.get(name, 0))
+            if delta is not None:
+                reply.workers.append(delta)
+        reply.control = [address_of(m) for m in self.replica(CONFIG).log.members]
+        reply.edges = len(self.sessions.live(self.host.now(), "edge"))
+        return reply
+
+    def _applied(self, group: str) -> None:
+        self._news.set()
+        self._news = asyncio.Event()
+
+    def _role(self, group: str, leads: bool) -> None:
+        if leads:
+            self._led_since[group] = self.host.now()
+            shard = self.workers.get(group)
+            if shard is not None:
+                self.heard.update({worker: self.host.now() for worker in shard.workers})
+        else:
+            self._led_since.pop(group, None)
+
+    # ------------------------------------------------------------------ chores
+
+    async def _chores(self) -> None:
+        while True:
+            await asyncio.sleep(CHORES)
+            started = time.monotonic()
+            self._members()
+            self._gossip()
+            try:
+                await self._expire_workers()
+                if self.leads(CONFIG):
+                    await self._note_stores()
+                    await self._place()
+                    await self._finish_retiring()
+                else:
+                    self._placing_since = None
+            except (Superseded, TimeoutError):
+                log.info("chores put off", after=round(time.monotonic() - started, 2))
+
+    def _members(self) -> None:
+        now = self.host.now()
+        seeds = [f"{seed.rpartition(':')[0]}:{self.settings.port}#" for seed in self.settings.seeds]
+        for hosted in self.host.groups.values():
+            replica = hosted.replica
+            wanted = membership.wanted_voters(replica, self.copies, now, self.timing)
+            if wanted:
+                membership.step(replica, wanted, now, self.timing)
+            others = [m for m in replica.log.members if m != self.host.me]
+            replica.ask_to_join(now, [*others, *(s for s in seeds if address_of(s) != self.address)])
+        self.host.flush_soon()
+
+    def _gossip(self) -> None:
+        now = self.host.now()
+        table = bytes(SessionTable(self.sessions.told(now)))
+        self.sessions.expire(now)
+        if table:
+            for member in self.replica(CONFIG).log.members:
+                if address_of(member) != self.address:
+                    self.links.to(address_of(member)).send(Kind.SESSIONS, table)
+
+    async def _expire_workers(self) -> None:
+        now = self.host.now()
+        silent_for = SILENT_BEATS * self.settings.heartbeat + 0.5
+        for group, shard in self.workers.items():
+            if not self.leads(group) or now - self._led_since.get(group, now) < silent_for:
+                continue
+            for worker in list(shard.workers):
+                if now - self.heard.get(worker, now) > silent_for:
+                    log.info("worker silent", worker=worker)
+                    expired = worker_shard.remove(worker_shard.Command.EXPIRE, worker)
+                    await self.host.propose(group, expired, COMMIT_WITHIN)
+
+    async def _note_stores(self) -> None:
+        for session in self.sessions.live(self.host.now(), "storage").values():
+            known = self.config.store(session.name)
+            if known is None or known.replica != session.replica:
+                stage = StoreStage.ACTIVE if known is None else known.stage
+                node = StoreNode(session.name, session.replica, session.zone, stage)
+                await self.host.propose(CONFIG, command(Command.STORE, node), COMMIT_WITHIN)
+
+    def _candidates(self) -> list[Candidate]:
+        live = self.live_stores()
+        return [
+            Candidate(s.replica, s.zone, s.replica in live, s.stage == StoreStage.ACTIVE)
+            for s in self.config.state.stores
+        ]
+
+    async def _place(self) -> None:
+        nodes = self._candidates()
+        missing = [s for s in BATCH_SHARDS if not self.config.placement(s)]
+        placed = {s: self.config.placement(s) for s in BATCH_SHARDS if s not in missing}
+        changes: dict[str, tuple[str, ...]] = {}
+        usable = sum(n.usable for n in nodes)
+        now = self.host.now()
+        if missing and usable:
+            self._placing_since = self._placing_since or now
+            patience = GATHER if usable >= self.copies else 6 * GATHER
+            if now - self._placing_since > patience:
+                changes = first_placement(missing, nodes, self.copies)
+        elif self.settled():
+            changes = repaired(placed, nodes, self.copies)
+        for shard, replicas in changes.items():
+            log.info("place", shard=shard, replicas=list(replicas))
+            placement = Placement(shard, list(replicas), shard in missing)
+            await self.host.propose(CONFIG, command(Command.PLACE, placement), COMMIT_WITHIN)
+
+    async def _finish_retiring(self) -> None:
+        for node in self.config.state.stores:
+            if node.stage != StoreStage.RETIRING or not self._emptied(node.replica):
+                continue
+            retired = StoreNode(node.name, node.replica, node.zone, StoreStage.RETIRED)
+            await self.host.propose(CONFIG, command(Command.STORE, retired), COMMIT_WITHIN)
+
+    def _emptied(self, replica: str) -> bool:
+        """Whether all shards live elsewhere, as their own leaders say."""
+        told: dict[str, tuple[int, tuple[str, ...]]] = {}
+        for session in self.sessions.live(self.host.now(), "storage").values():
+            for status in session.shards:
+                if status.leader == session.replica and status.term >= told.get(status.shard, (0, ()))[0]:
+                    told[status.shard] = (status.term, tuple(status.voters))
+        for shard in BATCH_SHARDS:
+            wanted = self.config.placement(shard)
+            if not wanted:
+                continue
+            _, voters = told.get(shard, (0, ()))
+            if replica in wanted or set(voters) != set(wanted):
+                return False
+        return True
--- /dev/null
+++ b/heronstall/controlplane/hosting.py
@@ -0,0 +1,267 @@
+"""Runs the replicas of one node: its disk, its messages and its clock round the I/O-free replicas."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Protocol
+
+import structlog
+
+from heronstall.replication.log import Image
+from heronstall.replication.protocol import EntryKind, RecordKind, Timing, address_of
+from heronstall.replication.replica import Output, Replica
+from heronstall.storage.journal import Journal, Recovered
+from heronstall.transport.frames import Kind
+from heronstall.transport.links import Links
+from heronstall.transport.messages import DiskRecord, GroupBatch, GroupImage, GroupMessage
+
+log = structlog.get_logger()
+
+TICK = 0.06  # seconds
+KEPT_ENTRIES = 128  # entries before a snapshot that are kept for replicas a little behind
+DISK_RETRY = 0.25  # seconds until a refused write is tried again
+BOOTSTRAP_INCARNATION = "0"
+
+
+class StateMachine(Protocol):
+    """What a group's log is folded into."""
+
+    def apply(self, index: int, data: bytes) -> Any:
+        """Take a committed command."""
+
+    def dump(self) -> bytes:
+        """The whole state."""
+
+    def restore(self, state: bytes) -> None:
+        """Take a whole state; empty bytes are the state before the first command."""
+
+
+class Superseded(Exception):
+    """A proposed command will never be committed."""
+
+
+@dataclass
+class Hosted:
+    """A replica and what belongs to it."""
+
+    replica: Replica
+    machine: StateMachine
+    waiting: dict[int, tuple[int, asyncio.Future[Any]]] = field(default_factory=dict)
+    was_leader: bool = False
+
+
+class GroupHost:
+    """All replicas of a node over one journal."""
+
+    def __init__(
+        self, address: str, folder: Path, links: Links, timing: Timing, bootstrap: bool, log_limit: int
+    ) -> None:
+        self.links = links
+        self.groups: dict[str, Hosted] = {}
+        self.on_applied: Callable[[str], None] = lambda group: None
+        self.on_role: Callable[[str, bool], None] = lambda group, leads: None
+        self._journal = Journal(folder)
+        self._timing = timing
+        self._limit = log_limit
+        self._random = random.Random()
+        self._images: dict[str, Image] = {}
+        self._pending: list[DiskRecord] = []
+        self._held: list[GroupMessage] = []
+        self._flush_due = False
+        self._disk_after = 0.0
+        self._incarnation = self._recover(bootstrap)
+        self.me = f"{address}#{self._incarnation}"
+
+    @property
+    def recovered_groups(self) -> list[str]:
+        """Groups that this node's disk knows of."""
+        return list(self._images)
+
+    def add(self, group: str, machine: StateMachine, tells_commit: bool = True) -> Replica:
+        """Run a replica of a group, from what the disk holds of it."""
+        image = self._images.pop(group, None)
+        replica = Replica(group, self.me, self._timing, self._random, self.now(), image)
+        replica.dump = machine.dump
+        replica.tells_commit = tells_commit
+        machine.restore(image.snapshot.state if image and image.snapshot else b"")
+        self.groups[group] = Hosted(replica, machine)
+        return replica
+
+    @staticmethod
+    def now() -> float:
+        """Steady time in seconds."""
+        return time.monotonic()
+
+    def receive(self, body: bytes) -> None:
+        """Take a frame with messages of other replicas."""
+        now = self.now()
+        for message in GroupBatch().parse(body).messages:
+            hosted = self.groups.get(message.group)
+            if hosted is not None:
+                hosted.replica.receive(now, message)
+        self.flush_soon()
+
+    async def run(self) -> None:
+        """Let time pass until cancelled."""
+        while True:
+            now = self.now()
+            for hosted in self.groups.values():
+                hosted.replica.tick(now)
+            self.flush()
+            await asyncio.sleep(TICK)
+
+    async def propose(self, group: str, data: bytes, within: float) -> Any:
+        """Commit a command and return what applying it gave.
+
+        Raises Superseded where it is certain that it will never be committed, TimeoutError where not.
+        """
+        hosted = self.groups[group]
+        index = hosted.replica.propose(self.now(), data)
+        if index is None:
+            raise Superseded(group)
+        future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        hosted.waiting[index] = (hosted.replica.term, future)
+        self.flush_soon()
+        try:
+            async with asyncio.timeout(within):
+                return await future
+        finally:
+            hosted.waiting.pop(index, None)
+
+    def flush_soon(self) -> None:
+        """Write, send and apply before the loop waits again."""
+        if not self._flush_due:
+            self._flush_due = True
+            asyncio.get_running_loop().call_soon(self.flush)
+
+    def flush(self) -> None:
+        """Carry out what the replicas want done."""
+        self._flush_due = False
+        for _ in range(8):
+            outputs = [(h, h.replica.take_output()) for h in self.groups.values()]
+            if not any(o.early or o.records or o.late or o.install or o.apply for _, o in outputs):
+                break
+            self._send([m for _, o in outputs for m in o.early])
+            self._pending += [r for _, o in outputs for r in o.records]
+            self._held += [m for _, o in outputs for m in o.late]
+            self._write_pending()
+            for hosted, output in outputs:
+                self._apply(hosted, output)
+        if self._journal.log_bytes > self._limit:
+            self._compact()
+        self._tell_roles()
+
+    # ------------------------------------------------------------------ disk
+
+    def _recover(self, bootstrap: bool) -> str:
+        found = self._journal.recover()
+        if found.parts is None:
+            if found.damaged:
+                log.error("both slots damaged, treated as a lost disk")
+            fresh = BOOTSTRAP_INCARNATION if bootstrap else f"{self._random.getrandbits(48):x}"
+            self._journal.write_slot([fresh.encode()])
+            return fresh
+        self._read_images(found)
+        assert found.parts
+        return found.parts[0].decode()
+
+    def _read_images(self, found: Recovered) -> None:
+        assert found.parts is not None
+        for part in found.parts[1:]:
+            image = GroupImage().parse(part)
+            snapshot = image.snapshot if image.snapshot.index else None
+            self._images[image.group] = Image(image.term, image.vote, snapshot, list(image.entries))
+        for payload in found.records:
+            self._replay(DiskRecord().parse(payload))
+
+    def _replay(self, record: DiskRecord) -> None:
+        image = self._images.setdefault(record.group, Image())
+        if record.kind == RecordKind.VOTE:
+            image.term, image.vote = record.term, record.vote
+        elif record.kind == RecordKind.SNAPSHOT:
+            image.snapshot, image.entries = record.snapshot, []
+        elif record.kind == RecordKind.ENTRIES and record.entries:
+            first = record.entries[0].index
+            while image.entries and image.entries[-1].index >= first:
+                image.entries.pop()
+            image.entries.extend(record.entries)
+
+    def _write_pending(self) -> None:
+        if self._pending:
+            if self.now() < self._disk_after:
+                return
+            try:
+                self._journal.append([bytes(r) for r in self._pending])
+                self._journal.sync()
+            except OSError as error:
+                log.warning("disk refuses writes", error=str(error))
+                self._disk_after = self.now() + DISK_RETRY
+                return
+            self._pending.clear()
+            now = self.now()
+            for hosted in self.groups.values():
+                hosted.replica.synced(now)
+        held, self._held = self._held, []
+        self._send(held)
+
+    def _compact(self) -> None:
+        if self._pending or self.now() < self._disk_after:
+            return
+        parts = [self._incarnation.encode()]
+        for group, hosted in self.groups.items():
+            parts.append(bytes(self._group_image(group, hosted)))
+        try:
+            self._journal.write_slot(parts)
+        except OSError as error:
+            log.warning("disk refuses a slot", error=str(error))
+            self._disk_after = self.now() + DISK_RETRY
+            return
+        for hosted in self.groups.values():
+            hosted.replica.log.compact(hosted.replica.applied - KEPT_ENTRIES)
+
+    @staticmethod
+    def _group_image(group: str, hosted: Hosted) -> GroupImage:
+        replica = hosted.replica
+        image = GroupImage(group=group, term=replica.term, vote=replica.vote)
+        if replica.applied:
+            image.snapshot = replica.image(replica.applied, hosted.machine.dump())
+        image.entries = [e for e in replica.log.entries() if e.index > replica.applied]
+        return image
+
+    # ------------------------------------------------------------------ messages and state
+
+    def _send(self, messages: list[GroupMessage]) -> None:
+        batches: dict[str, list[GroupMessage]] = {}
+        for message in messages:
+            batches.setdefault(address_of(message.recipient), []).append(message)
+        for address, batch in batches.items():
+            self.links.to(address).send(Kind.GROUP, bytes(GroupBatch(messages=batch)))
+
+    def _apply(self, hosted: Hosted, output: Output) -> None:
+        if output.install is not None:
+            hosted.machine.restore(output.install.state)
+        for entry in output.apply:
+            result = None
+            if entry.kind == EntryKind.COMMAND:
+                result = hosted.machine.apply(entry.index, entry.data)
+            term, future = hosted.waiting.pop(entry.index, (0, None))
+            if future is not None and not future.done():
+                if term == entry.term:
+                    future.set_result(result)
+                else:
+                    future.set_exception(Superseded(hosted.replica.group))
+        if output.install is not None or output.apply:
+            self.on_applied(hosted.replica.group)
+
+    def _tell_roles(self) -> None:
+        for group, hosted in self.groups.items():
+            leads = hosted.replica.established
+            if leads != hosted.was_leader:
+                hosted.was_leader = leads
+                log.info("role", group=group, leads=leads, term=hosted.replica.term)
+                self.on_role(group, leads)
--- /dev/null
+++ b/heronstall/controlplane/state/operator_config.py
@@ -0,0 +1,173 @@
+"""The operator's configuration: its types, read by pyserde, and the checks that make it valid."""
+
+from __future__ import annotations
+
+from collections import Counter
+from enum import IntEnum
+from typing import Any
+
+import serde
+import ujson
+from result import Err, Ok, Result
+from serde import field
+
+
+class ConfigFault(IntEnum):
+    """Why a configuration is refused. docs/result-codes.md explains each."""
+
+    UNREADABLE = 1001
+    WRONG_TYPE = 1002
+    DUPLICATE = 1003
+    UNKNOWN_SERVICE = 1004
+    SAME_PLACE = 1005
+    NO_WEIGHT = 1006
+    NO_TIMEOUT = 1007
+    OLD_REVISION = 1008
+    WRONG_BASE = 1009
+    BAD_PREFIX = 1010
+
+
+class Fault(tuple[ConfigFault, str]):
+    """A code, and what is at fault."""
+
+    __slots__ = ()
+
+
+def fault(code: ConfigFault, text: str) -> Err[Fault]:
+    """An error result."""
+    return Err(Fault((code, text)))
+
+
+@serde.serde
+class Split:
+    """A part of a route's traffic."""
+
+    service: str
+    weight: int | float
+
+
+@serde.serde
+class Route:
+    """A route, as far as it is checked."""
+
+    name: str
+    hostname: str
+    path_prefix: str
+    timeout_ms: int | float
+    route_type: str = "idempotent"
+    service: str | None = None
+    traffic_split: list[Split] = field(default_factory=list)
+
+
+@serde.serde
+class Service:
+    """A service, as far as it is checked."""
+
+    name: str
+
+
+@serde.serde
+class OperatorConfig:
+    """A whole configuration."""
+
+    revision: int
+    routes: list[Route]
+    services: list[Service]
+
+
+Document = dict[str, Any]
+
+
+class _Duplicate(ValueError):
+    pass
+
+
+def read_object(body: bytes) -> Result[Document, Fault]:
+    """Parse a JSON object; a key that stands twice makes it invalid."""
+    import json  # ujson has no hook for pairs
+
+    def unique(pairs: list[tuple[str, Any]]) -> Document:
+        names = Counter(name for name, _ in pairs)
+        twice = [name for name, count in names.items() if count > 1]
+        if twice:
+            raise _Duplicate(twice[0])
+        return dict(pairs)
+
+    try:
+        value = json.loads(body, object_pairs_hook=unique)
+    except _Duplicate as error:
+        return fault(ConfigFault.DUPLICATE, f"key {error} stands twice")
+    except ValueError as error:
+        return fault(ConfigFault.UNREADABLE, str(error))
+    if not isinstance(value, dict):
+        return fault(ConfigFault.UNREADABLE, "an object is wanted")
+    return Ok(value)
+
+
+def patched(current: Document, patch: Document) -> Result[Document, Fault]:
+    """The document that a PATCH makes of the current one."""
+    document = dict(current)
+    document["revision"] = patch.get("revision")
+    upsert, remove = patch.get("upsert", {}), patch.get("remove", {})
+    if not isinstance(upsert, dict) or not isinstance(remove, dict):
+        return fault(ConfigFault.WRONG_TYPE, "upsert, remove: objects are wanted")
+    for key, names in remove.items():
+        if not isinstance(names, list):
+            return fault(ConfigFault.WRONG_TYPE, f"remove.{key}: a list is wanted")
+        document[key] = [x for x in document.get(key, []) if x.get("name") not in names]
+    for key, items in upsert.items():
+        if isinstance(items, dict):
+            document[key] = {**document.get(key, {}), **items}
+            continue
+        if not isinstance(items, list) or not all(isinstance(x, dict) and "name" in x for x in items):
+            return fault(ConfigFault.WRONG_TYPE, f"upsert.{key}: a list of named items is wanted")
+        if len({str(x["name"]) for x in items}) < len(items):
+            return fault(ConfigFault.DUPLICATE, f"upsert.{key}: a name stands twice")
+        new = {x["name"]: x for x in items}
+        merged = [new.pop(x["name"], x) for x in document.get(key, [])]
+        document[key] = [*merged, *new.values()]
+    return Ok(document)
+
+
+def checked(document: Document, current_revision: int) -> Result[OperatorConfig, Fault]:
+    """Whether a document is a valid successor of the current revision."""
+    revision = document.get("revision")
+    if isinstance(revision, bool) or not isinstance(revision, int):
+        return fault(ConfigFault.WRONG_TYPE, "revision: a whole number is wanted")
+    try:
+        config = serde.from_dict(OperatorConfig, document)
+    except Exception as error:  # pyserde raises what the value's own conversion raises
+        return fault(ConfigFault.WRONG_TYPE, str(error))
+    if revision <= current_revision:
+        return fault(ConfigFault.OLD_REVISION, f"revision {revision} is not above {current_revision}")
+    for name, items in (("routes", config.routes), ("services", config.services)):
+        if len({x.name for x in items}) < len(items):
+            return fault(ConfigFault.DUPLICATE, f"{name}: a name stands twice")
+    return _routes_checked(config)
+
+
+def _routes_checked(config: OperatorConfig) -> Result[OperatorConfig, Fault]:
+    services = {s.name for s in config.services}
+    places: set[tuple[str, str]] = set()
+    for route in config.routes:
+        place = (route.hostname.lower(), route.path_prefix)
+        if place in places:
+            return fault(ConfigFault.SAME_PLACE, f"{route.name}: another route has this host and prefix")
+        places.add(place)
+        if not route.path_prefix.startswith("/") or not route.path_prefix.endswith("/"):
+            return fault(ConfigFault.BAD_PREFIX, f"{route.name}: path_prefix must begin and end with a slash")
+        targets = {s.service for s in route.traffic_split} | ({route.service} if route.service else set())
+        unknown = targets - services
+        if unknown or not targets:
+            return fault(ConfigFault.UNKNOWN_SERVICE, f"{route.name}: unknown service {sorted(unknown)}")
+        weights = [s.weight for s in route.traffic_split]
+        if weights and (sum(weights) <= 0 or min(weights) < 0):
+            return fault(ConfigFault.NO_WEIGHT, f"{route.name}: the weights sum to 0")
+        if not route.timeout_ms > 0:
+            return fault(ConfigFault.NO_TIMEOUT, f"{route.name}: timeout_ms must be above 0")
+    return Ok(config)
+
+
+def canonical(document: Document) -> bytes:
+    """The same bytes for documents of the same content."""
+    return ujson.dumps(document, sort_keys=True, escape_forward_slashes=False).encode()
--- /dev/null
+++ b/heronstall/controlplane/store.py
@@ -0,0 +1,389 @@
+"""A storage node: replicas of batch shards, and for those that it owns the work of their jobs."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from pathlib import Path
+
+import structlog
+
+from heronstall.batch import jobs as batch
+from heronstall.batch.jobs import BatchShard, Job
+from heronstall.batch.leases import Leases
+from heronstall.config import NodeSettings
+from heronstall.controlplane.hosting import GroupHost, Superseded
+from heronstall.distribution.view import View
+from heronstall.replication import membership
+from heronstall.replication.protocol import Timing
+from heronstall.transport.frames import Kind, Status
+from heronstall.transport.links import Links, LinkServer, Reply
+from heronstall.transport.messages import (
+    BatchItem,
+    Hint,
+    ItemReport,
+    ItemResult,
+    LeasedItem,
+    LeaseReply,
+    LeaseRequest,
+    FinishRequest,
+    ReadReply,
+    ReadRequest,
+    Session,
+    ShardStatus,
+    SubmitRequest,
+)
+from heronstall.transport.pulling import Puller
+
+log = structlog.get_logger()
+
+CHORES = 0.25  # seconds between rounds of chores
+COMMIT_WITHIN = 3.0  # seconds
+LOG_LIMIT = 24 * 1024 * 1024  # bytes of log before a slot is written
+DISK_SHARE = 0.8  # part of the disk that may be planned for
+MEMORY_SHARE = 0.35  # part of the memory that jobs may take
+READ_BYTES = 900_000  # of results in one answer
+FORGET_MARGIN = 5.0  # seconds beyond what is owed
+ITEM_LIMIT = 64  # items given out in one call
+
+
+class Outcome:
+    """What a dispatcher reports of an item."""
+
+    DONE = 1
+    UNDOABLE = 2
+    FAILED = 3
+    RETURNED = 4
+    ROUTE_GONE = 5
+
+
+class OwnedShard:
+    """A batch shard on this node, and what its owner keeps in memory."""
+
+    def __init__(self) -> None:
+        self.state = BatchShard()
+        self.leases = Leases(self.state)
+        self.state.listener = self.leases
+        self.accepting: dict[str, asyncio.Future[Status]] = {}
+        self.accepting_tokens: dict[str, int] = {}
+        self.news = asyncio.Event()
+
+    def wake(self) -> None:
+        """Let those go on who wait for a change."""
+        self.news.set()
+        self.news = asyncio.Event()
+
+
+class Store:
+    """All that a storage node holds and does."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self.settings = settings
+        self.timing = Timing()
+        self.links = Links()
+        self.view = View()
+        address = f"{settings.ip}:{settings.port}"
+        assert settings.data_dir is not None
+        self._limit = min(LOG_LIMIT, settings.disk_mb * 1024 * 1024 // 6)
+        self.host = GroupHost(
+            address, Path(settings.data_dir), self.links, self.timing, settings.bootstrap, self._limit
+        )
+        self.host.on_applied = self._applied
+        self.host.on_role = self._role
+        self.shards: dict[str, OwnedShard] = {}
+        seeds = [f"{seed.rpartition(':')[0]}:{settings.port}" for seed in settings.seeds]
+        self._puller = Puller(self.links, self.view, self._session, seeds, self._news)
+        self._server = LinkServer(self._serve, self._one_way)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Take the shards of the disk up and begin to serve other nodes."""
+        for group in self.host.recovered_groups:
+            self._add(group)
+        self.host.flush()
+        await self._server.listen(self.settings.ip, self.settings.port)
+        runs = (self.host.run(), self._puller.run(), self._chores())
+        self._tasks = [asyncio.create_task(run) for run in runs]
+
+    async def stop(self) -> None:
+        """Hand the ownerships over and end."""
+        for hosted in self.host.groups.values():
+            hosted.replica.hand_over(self.host.now())
+        self.host.flush()
+        await asyncio.sleep(0.2)
+        for task in self._tasks:
+            task.cancel()
+        self._server.close()
+
+    # ------------------------------------------------------------------ groups
+
+    def _add(self, group: str) -> OwnedShard:
+        owned = self.shards[group] = OwnedShard()
+        self.host.add(group, owned.state, tells_commit=False)
+        return owned
+
+    def _session(self) -> Session:
+        statuses = []
+        for group, hosted in self.host.groups.items():
+            replica = hosted.replica
+            leader = self.host.me if replica.established else ""
+            settled = replica.log.members_index <= replica.commit
+            voters = list(replica.log.members) if settled else []
+            statuses.append(ShardStatus(group, replica.term, voters, leader))
+        return Session(
+            name=self.settings.name,
+            machine_class="storage",
+            address=f"{self.settings.ip}:{self.settings.port}",
+            zone=self.settings.zone,
+            replica=self.host.me,
+            shards=statuses,
+        )
+
+    def _news(self, changed: set[str]) -> None:
+        if "placement" not in changed:
+            return
+        for shard, placement in self.view.placements.items():
+            if self.host.me in placement.replicas and shard not in self.shards:
+                self._add(shard)
+                if placement.first:  # nobody has voted before; an identity without the group has not either
+                    voters = tuple(sorted(placement.replicas))
+                    self.host.groups[shard].replica.form(self.host.now(), voters)
+        self.host.flush_soon()
+
+    def _applied(self, group: str) -> None:
+        self.shards[group].wake()
+
+    def _role(self, group: str, leads: bool) -> None:
+        self.shards[group].leases.lead(leads)
+        self.shards[group].wake()
+
+    async def _chores(self) -> None:
+        while True:
+            await asyncio.sleep(CHORES)
+            now = self.host.now()
+            for group, owned in self.shards.items():
+                replica = self.host.groups[group].replica
+                wanted = self.view.placement_of(group)
+                if wanted:
+                    membership.step(replica, wanted, now, self.timing)
+                    replica.ask_to_join(now, [r for r in wanted if r != self.host.me])
+                if not replica.holds_lease(now):
+                    continue
+                if owned.leases.expire(now):
+                    owned.wake()
+                try:
+                    await self._clean(group, owned)
+                except (Superseded, TimeoutError):
+                    log.info("cleaning put off", shard=group)
+            self.host.flush_soon()
+
+    async def _clean(self, group: str, owned: OwnedShard) -> None:
+        now = time.monotonic()
+        late = self.settings.bounds.max_skew + FORGET_MARGIN
+        old = [
+            name
+            for name, job in owned.state.jobs.items()
+            if job.settled and now - job.accepted_at > self.settings.bounds.status + late
+        ]
+        if old:
+            await self.host.propose(group, batch.forget(old), COMMIT_WITHIN)
+        dead: list[ItemResult] = []
+        for name, job in owned.state.jobs.items():
+            given_up = job.record.retention_ms / 1000 + late
+            if not job.ended and job.open_items and now - job.accepted_at > given_up:
+                dead += [ItemResult(job=name, item=item) for item in job.open_items]
+        if dead:
+            await self.host.propose(group, batch.results(dead), COMMIT_WITHIN)
+
+    # ------------------------------------------------------------------ calls
+
+    def _one_way(self, kind: Kind, body: bytes) -> None:
+        if kind == Kind.GROUP:
+            self.host.receive(body)
+
+    async def _serve(self, kind: Kind, body: bytes) -> Reply:
+        try:
+            if kind == Kind.SUBMIT:
+                return await self._submit(SubmitRequest().parse(body))
+            if kind == Kind.READ:
+                return await self._read(ReadRequest().parse(body))
+            if kind == Kind.BODY:
+                return self._body(ReadRequest().parse(body))
+            if kind == Kind.END:
+                return await self._end(ReadRequest().parse(body))
+            if kind == Kind.LEASE:
+                return await self._lease(LeaseRequest().parse(body))
+            if kind == Kind.FINISH:
+                return await self._finish(FinishRequest().parse(body))
+        except (Superseded, TimeoutError):
+            return Reply(Status.UNSURE)
+        return Reply(Status.REFUSED)
+
+    def _owned(self, shard: str) -> OwnedShard | None:
+        hosted = self.host.groups.get(shard)
+        if hosted is None or not hosted.replica.holds_lease(self.host.now()):
+            return None
+        return self.shards[shard]
+
+    def _elsewhere(self, shard: str) -> Reply:
+        hosted = self.host.groups.get(shard)
+        hint = hosted.replica.leader_hint(self.host.now()) if hosted else ""
+        if hint == self.host.me:
+            hint = ""
+        return Reply(Status.NOT_OWNER, bytes(Hint(hint)))
+
+    async def _submit(self, request: SubmitRequest) -> Reply:
+        owned = self._owned(request.shard)
+        if owned is None:
+            return self._elsewhere(request.shard)
+        job = request.job
+        if job.id in owned.state.jobs:
+            return Reply(Status.OK)
+        under_way = owned.accepting.get(job.id)
+        if under_way is not None:
+            return Reply(await asyncio.shield(under_way))
+        job.accepted_unix_ms = int(time.time() * 1000)
+        tokens = sum(item.tokens for item in job.items)
+        pending = owned.accepting_tokens.get(job.route, 0)
+        waiting = owned.state.waiting_tokens[job.route] + pending
+        if request.max_queued_tokens and waiting + tokens > request.max_queued_tokens:
+            return Reply(Status.OVER_QUOTA)
+        if not self._has_room(job.items):
+            return Reply(Status.REFUSED)
+        future: asyncio.Future[Status] = asyncio.get_running_loop().create_future()
+        owned.accepting[job.id] = future
+        owned.accepting_tokens[job.route] = pending + tokens
+        status = Status.UNSURE
+        try:
+            await self.host.propose(request.shard, batch.accept(job), COMMIT_WITHIN)
+            status = Status.OK
+        except (Superseded, TimeoutError):
+            pass
+        finally:
+            owned.accepting_tokens[job.route] -= tokens
+            del owned.accepting[job.id]
+            future.set_result(status)
+        return Reply(status)
+
+    def _has_room(self, items: list[BatchItem]) -> bool:
+        """Whether disk and memory can hold these items to their end, and their results."""
+        held = sum(o.state.bytes for o in self.shards.values())
+        new = sum(2 * len(i.body) + 8 * i.tokens + 600 for i in items)
+        on_disk = 2 * (held + new) + 2 * self._limit
+        in_memory = 2 * (held + new)
+        return (
+            on_disk < DISK_SHARE * self.settings.disk_mb * 1024 * 1024
+            and in_memory < MEMORY_SHARE * self.settings.memory_mb * 1024 * 1024
+        )
+
+    async def _read(self, request: ReadRequest) -> Reply:
+        deadline = self.host.now() + request.wait_ms / 1000
+        while True:
+            owned = self._owned(request.shard)
+            if owned is None:
+                return self._elsewhere(request.shard)
+            job = owned.state.jobs.get(request.job)
+            if job is None:
+                return Reply(Status.UNKNOWN)
+            left = deadline - self.host.now()
+            if len(job.results) > request.start or left <= 0 or job.settled:
+                return Reply(Status.OK, bytes(_page(job, request.start)))
+            try:
+                async with asyncio.timeout(left):
+                    await owned.news.wait()
+            except TimeoutError:
+                continue
+
+    def _body(self, request: ReadRequest) -> Reply:
+        owned = self._owned(request.shard)
+        if owned is None:
+            return self._elsewhere(request.shard)
+        job = owned.state.jobs.get(request.job)
+        item = job.open_items.get(request.item) if job else None
+        if item is None:
+            return Reply(Status.UNKNOWN)
+        return Reply(Status.OK, bytes(ReadReply(body=item.body)))
+
+    async def _end(self, request: ReadRequest) -> Reply:
+        owned = self._owned(request.shard)
+        if owned is None:
+            return self._elsewhere(request.shard)
+        job = owned.state.jobs.get(request.job)
+        if job is None:
+            return Reply(Status.UNKNOWN)
+        if not job.ended:
+            await self.host.propose(request.shard, batch.end(request.job), COMMIT_WITHIN)
+        return Reply(Status.OK)
+
+    # ------------------------------------------------------------------ items at dispatchers
+
+    async def _lease(self, request: LeaseRequest) -> Reply:
+        deadline = self.host.now() + request.wait_ms / 1000
+        while True:
+            owned = self._owned(request.shard)
+            if owned is None:
+                return self._elsewhere(request.shard)
+            owned.leases.seen(self.host.now(), request.holder)
+            given = owned.leases.take(request.holder, min(request.want, ITEM_LIMIT))
+            ended = [name for name in request.jobs if self._over(owned, name)]
+            left = deadline - self.host.now()
+            if given or ended or left <= 0:
+                items = [_leased(job, item) for job, item in given]
+                return Reply(Status.OK, bytes(LeaseReply(items, ended, owned.leases.waiting)))
+            try:
+                async with asyncio.timeout(left):
+                    await owned.news.wait()
+            except TimeoutError:
+                continue
+
+    @staticmethod
+    def _over(owned: OwnedShard, name: str) -> bool:
+        job = owned.state.jobs.get(name)
+        return job is None or job.ended
+
+    async def _finish(self, request: FinishRequest) -> Reply:
+        owned = self._owned(request.shard)
+        if owned is None:
+            return self._elsewhere(request.shard)
+        owned.leases.seen(self.host.now(), request.holder)
+        listed = [r for report in request.reports if (r := self._result(owned, request.holder, report))]
+        if listed:
+            await self.host.propose(request.shard, batch.results(listed), COMMIT_WITHIN)
+        else:
+            owned.wake()
+        return Reply(Status.OK)
+
+    @staticmethod
+    def _result(owned: OwnedShard, holder: str, report: ItemReport) -> ItemResult | None:
+        """The result that a report makes, if it makes one."""
+        job = owned.state.jobs.get(report.job)
+        if job is None or report.item not in job.open_items:
+            return None
+        key = (report.job, report.item)
+        if report.outcome == Outcome.DONE:
+            return ItemResult(report.job, report.item, True, report.text)
+        if report.outcome in (Outcome.UNDOABLE, Outcome.ROUTE_GONE):
+            return ItemResult(report.job, report.item)
+        if report.outcome == Outcome.FAILED:
+            if owned.leases.failed(holder, key) >= max(1, job.record.max_attempts):
+                return ItemResult(report.job, report.item)
+            return None
+        owned.leases.give_back(holder, key)
+        return None
+
+
+def _page(job: Job, start: int) -> ReadReply:
+    """Results from a position on, as many as an answer holds."""
+    found: list[ItemResult] = []
+    size = 0
+    for result in job.results[start:]:
+        size += len(result.text) + 200
+        if found and size > READ_BYTES:
+            break
+        found.append(result)
+    return ReadReply(total=job.total, results=found)
+
+
+def _leased(job: Job, item: str) -> LeasedItem:
+    due = job.accepted_at + job.record.completion_ms / 1000 - time.monotonic()
+    return LeasedItem(job.record.id, job.record.host, job.open_items[item], int(due * 1000), job.record.route)
--- /dev/null
+++ b/heronstall/dataplane/__init__.py
@@ -0,0 +1,1 @@
+"""The data plane of the tier: takes clients' requests, passes them to workers, fronts batch jobs."""
--- /dev/null
+++ b/heronstall/dataplane/batch_runner.py
@@ -0,0 +1,261 @@
+"""Runs batch items: leases them from their shards' owners, sends them to workers, reports what came of them."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import aiohttp
+import structlog
+from multidict import CIMultiDict
+
+from heronstall.dataplane.admission import Admission
+from heronstall.dataplane.events import EventReader
+from heronstall.dataplane.forwarding import LAST_EVENT, PREFIX, REQUEST_ID, TARGET
+from heronstall.dataplane.routing import Route, Routes, RouteType
+from heronstall.dataplane.shard_client import ShardClient
+from heronstall.dataplane.workers import WorkerState
+from heronstall.distribution.shards import batch_shard
+from heronstall.transport.frames import Kind, Status
+from heronstall.transport.messages import FinishRequest, ItemReport, LeasedItem, LeaseReply, LeaseRequest
+
+log = structlog.get_logger()
+
+POLL_HOLD = 0.45  # seconds that the owner may hold a call for items
+POLL_PAUSE = 0.05
+STALE_AFTER = 1.5  # seconds without an answer of the owner after which nothing new is started
+SILENCE = 6.0  # seconds without an event after which a worker is given up
+FINISH_WITHIN = 2.0  # seconds for one report
+
+
+class Outcome:
+    """What is reported of an item; the same numbers as at the storage nodes."""
+
+    DONE = 1
+    UNDOABLE = 2
+    FAILED = 3
+    RETURNED = 4
+    ROUTE_GONE = 5
+
+
+@dataclass
+class Running:
+    """An item at this dispatcher."""
+
+    leased: LeasedItem
+    shard: str
+    texts: list[bytes] = field(default_factory=list)
+    last_event: int | None = None
+    task: asyncio.Task[None] | None = None
+
+
+class BatchRunner:
+    """All items of this dispatcher."""
+
+    def __init__(self, name: str, shards: ShardClient, admission: Admission, routes: Callable[[], Routes]) -> None:
+        self.holder = f"{name}/{secrets.token_hex(4)}"
+        self.stopping = False
+        self._shards, self._admission, self._routes = shards, admission, routes
+        self._running: dict[tuple[str, str], Running] = {}
+        self._reports: dict[str, list[ItemReport]] = {}
+        self._report_news = asyncio.Event()
+        self._pollers: dict[str, asyncio.Task[None]] = {}
+        self._polled_at: dict[str, float] = {}
+        self._place_free = asyncio.Event()
+
+    @property
+    def running(self) -> int:
+        """Items in hand."""
+        return len(self._running)
+
+    def routes_changed(self) -> None:
+        """Poll the shards of all hosts that have batch routes."""
+        wanted = {batch_shard(host) for host in self._routes().batch_hosts()}
+        for shard in wanted - set(self._pollers):
+            self._pollers[shard] = asyncio.create_task(self._poll(shard))
+
+    async def report(self) -> None:
+        """Send reports until cancelled."""
+        while True:
+            await self._report_news.wait()
+            self._report_news.clear()
+            for shard in list(self._reports):
+                reports = self._reports.pop(shard)
+                call = bytes(FinishRequest(self.holder, reports, shard))
+                reply = await self._shards.call(shard, Kind.FINISH, call, FINISH_WITHIN, hold=0.8)
+                if reply.status != Status.OK:
+                    self._reports.setdefault(shard, []).extend(reports)
+                    self._report_news.set()
+                    await asyncio.sleep(0.1)
+
+    async def stop(self) -> None:
+        """Give back what has not begun, and start nothing more."""
+        self.stopping = True
+        for item in list(self._running.values()):
+            if not item.texts and item.task is not None:
+                item.task.cancel()
+
+    # ------------------------------------------------------------------ leasing
+
+    async def _poll(self, shard: str) -> None:
+        while not self.stopping:
+            want = self._want(shard)
+            jobs = sorted({r.leased.job for r in self._running.values() if r.shard == shard})
+            call = LeaseRequest(self.holder, want, int(POLL_HOLD * 1000), jobs, shard)
+            began = time.monotonic()
+            reply = await self._shards.call(shard, Kind.LEASE, bytes(call), 2.0, hold=POLL_HOLD)
+            if reply.status != Status.OK:
+                await asyncio.sleep(POLL_PAUSE)
+                continue
+            self._polled_at[shard] = began
+            leases = LeaseReply().parse(reply.body)
+            for job in leases.ended:
+                self._end(job)
+            for leased in leases.items:
+                self._start(shard, leased)
+            if not want or leases.ended:
+                await self._wait_for_place()
+
+    def _want(self, shard: str) -> int:
+        places = 0
+        for service in {t[0] for h in self._routes().by_host.values() for r in h for t in self._targets(r, shard)}:
+            places += self._admission.item_places(service)
+        return max(0, places - len(self._running))
+
+    @staticmethod
+    def _targets(route: Route, shard: str) -> tuple[tuple[str, float], ...]:
+        of_shard = route.type is RouteType.BATCH and batch_shard(route.host) == shard
+        return route.targets if of_shard else ()
+
+    async def _wait_for_place(self) -> None:
+        self._place_free.clear()
+        try:
+            async with asyncio.timeout(POLL_HOLD):
+                await self._place_free.wait()
+        except TimeoutError:
+            return
+
+    def _start(self, shard: str, leased: LeasedItem) -> None:
+        key = (leased.job, leased.item.id)
+        if key in self._running:
+            return
+        item = self._running[key] = Running(leased, shard)
+        item.task = asyncio.create_task(self._run(key, item))
+
+    def _end(self, job: str) -> None:
+        for key, item in list(self._running.items()):
+            if key[0] == job and item.task is not None:
+                item.task.cancel()
+
+    # ------------------------------------------------------------------ running
+
+    async def _run(self, key: tuple[str, str], item: Running) -> None:
+        outcome = Outcome.RETURNED
+        try:
+            outcome = await self._attempts(item)
+        except asyncio.CancelledError:
+            pass
+        finally:
+            del self._running[key]
+            text = b"\n".join(item.texts) if outcome == Outcome.DONE else b""
+            report = ItemReport(key[0], key[1], outcome, text)
+            self._reports.setdefault(item.shard, []).append(report)
+            self._report_news.set()
+            self._place_free.set()
+
+    async def _attempts(self, item: Running) -> int:
+        tried: set[str] = set()
+        pause = 0.05
+        while not self.stopping or item.texts:
+            route = self._routes().find(item.leased.host, item.leased.item.path)
+            if route is None or route.type is not RouteType.BATCH:
+                return Outcome.ROUTE_GONE
+            fresh = time.monotonic() - self._polled_at.get(item.shard, 0.0) < STALE_AFTER
+            service = route.service(self._admission._random)
+            prefix = _prefix(item.leased)
+            worker = self._admission.pick(service, prefix, tried, for_item=True) if fresh else None
+            if worker is None:
+                tried.clear()
+                await asyncio.sleep(pause)
+                pause = min(0.4, pause * 1.5)
+                continue
+            outcome = await self._attempt(item, worker, prefix)
+            if outcome is not None:
+                return outcome
+            tried.add(worker.entry.id)
+        return Outcome.RETURNED
+
+    async def _attempt(self, item: Running, worker: WorkerState, prefix: str) -> int | None:
+        """One run at one worker; None where another may go on from what has come."""
+        admission = self._admission
+        admission.sent(worker, prefix)
+        worker.items += 1
+        well = False
+        answer: aiohttp.ClientResponse | None = None
+        try:
+            async with asyncio.timeout(SILENCE):
+                answer = await worker.request("POST", item.leased.item.path, _headers(item, worker), item.leased.item.body)
+            outcome = await self._read(item, worker, answer)
+            well = True
+            return outcome
+        except (aiohttp.ClientError, ConnectionError, TimeoutError):
+            admission.failed(worker)
+            return None
+        finally:
+            if answer is not None and not well:
+                answer.close()
+            worker.items -= 1
+            admission.done(worker, well)
+
+    async def _read(self, item: Running, worker: WorkerState, answer: aiohttp.ClientResponse) -> int | None:
+        worker.learn_idle(answer.headers.get("Keep-Alive"))
+        if answer.status != 200:
+            await answer.read()
+            if answer.status == 422:
+                return Outcome.UNDOABLE
+            if answer.status == 500:
+                return Outcome.FAILED
+            if answer.status == 503:
+                self._admission.full(worker)
+            return None
+        if answer.headers.get(REQUEST_ID) != item.leased.item.id:
+            raise aiohttp.ClientPayloadError("answer to another request")
+        reader = EventReader()
+        while True:
+            async with asyncio.timeout(SILENCE):
+                piece = await answer.content.readany()
+            if not piece:
+                break
+            for event in reader.feed(piece):
+                self._take(item, event.id, event.data)
+        if reader.partial:
+            raise aiohttp.ClientPayloadError("an event is cut short")
+        return Outcome.DONE
+
+    @staticmethod
+    def _take(item: Running, number: int | None, data: bytes) -> None:
+        if number is not None:
+            if item.last_event is not None and number <= item.last_event:
+                return
+            item.last_event = number
+        item.texts.append(data)
+
+
+def _prefix(leased: LeasedItem) -> str:
+    value = next((h.value for h in leased.item.headers if h.name.lower() == PREFIX.lower()), "")
+    return ",".join(part.partition(":")[0] for part in value.split(",")[:-1])
+
+
+def _headers(item: Running, worker: WorkerState) -> CIMultiDict[str]:
+    headers: CIMultiDict[str] = CIMultiDict((h.name, h.value) for h in item.leased.item.headers)
+    headers["Host"] = item.leased.host
+    headers[REQUEST_ID] = item.leased.item.id
+    headers[TARGET] = worker.entry.id
+    if item.last_event is not None:
+        headers[LAST_EVENT] = str(item.last_event)
+    return headers
+
+
--- /dev/null
+++ b/heronstall/dataplane/events.py
@@ -0,0 +1,54 @@
+"""Cuts a text/event-stream into whole events. Free of I/O."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+ENDS = (b"\n\n", b"\r\n\r\n")
+
+
+class StreamEvent(NamedTuple):
+    """One whole event: its bytes with the blank line, its id, its data lines joined."""
+
+    raw: bytes
+    id: int | None
+    data: bytes
+
+
+class EventReader:
+    """Takes pieces of a stream and hands out the events that are whole."""
+
+    def __init__(self) -> None:
+        self._buffer = b""
+
+    @property
+    def partial(self) -> bytes:
+        """What has come of an event that is not whole."""
+        return self._buffer
+
+    def feed(self, piece: bytes) -> list[StreamEvent]:
+        """Take a piece; the events that it completes."""
+        self._buffer += piece
+        events: list[StreamEvent] = []
+        while True:
+            found = [(at, end) for end in ENDS if (at := self._buffer.find(end)) >= 0]
+            if not found:
+                return events
+            at, end = min(found)
+            raw = self._buffer[: at + len(end)]
+            self._buffer = self._buffer[at + len(end) :]
+            events.append(parse_event(raw))
+
+
+def parse_event(raw: bytes) -> StreamEvent:
+    """Read the fields of one event."""
+    number: int | None = None
+    data: list[bytes] = []
+    for line in raw.splitlines():
+        name, _, value = line.partition(b":")
+        value = value.removeprefix(b" ")
+        if name == b"data":
+            data.append(value)
+        elif name == b"id" and value.strip().isdigit():
+            number = int(value)
+    return StreamEvent(raw, number, b"\n".join(data))
--- /dev/null
+++ b/heronstall/dataplane/forwarding.py
@@ -0,0 +1,263 @@
+"""Passes one request to a worker and its answer back; tries again where that is certain to be harmless."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+
+import aiohttp
+import structlog
+from aiohttp import web
+from multidict import CIMultiDict
+
+from heronstall.dataplane.admission import Admission
+from heronstall.dataplane.events import EventReader
+from heronstall.dataplane.routing import Route, RouteType
+from heronstall.dataplane.workers import WorkerPool, WorkerState
+
+log = structlog.get_logger()
+
+REQUEST_ID = "Heronstall-Request-Id"
+DEADLINE = "Heronstall-Deadline-Ms"
+TARGET = "Heronstall-Target-Instance"
+PREFIX = "Heronstall-Prompt-Prefix"
+NOT_EXECUTED = "Heronstall-Not-Executed"
+SIGNATURE = "Heronstall-Response-Signature"
+LAST_EVENT = "Last-Event-Id"
+HOP_HEADERS = frozenset(
+    {"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "content-length"}
+)
+OWN_HEADERS = frozenset({DEADLINE.lower(), TARGET.lower()})
+SENDS = 5  # times that a request is offered at the most, refusals included
+RETRY_AFTER = 0.25  # seconds
+HOLD_SHARE = 0.2  # part of its aim that a request waits here for a worker
+
+
+class Tried(Enum):
+    """How an attempt ended that gave no answer."""
+
+    NOT_RUN = "not run"
+    FULL = "full"
+    MAYBE_RAN = "may have run"
+
+
+class Broken(Exception):
+    """The worker's answer ended before it was whole."""
+
+
+@dataclass
+class Passage:
+    """A client's request on its way."""
+
+    request: web.BaseRequest
+    route: Route
+    service: str
+    body: bytes
+    deadline: float  # steady time
+    arrived: float
+    response: web.StreamResponse | None = None  # once its head has been sent
+    last_event: int | None = None
+    runs: int = 0
+    tried: set[str] = field(default_factory=set)
+
+    @property
+    def prefix(self) -> str:
+        """The shared parts of its prompt."""
+        parts = self.request.headers.get(PREFIX, "").split(",")
+        return ",".join(part.partition(":")[0] for part in parts[:-1])
+
+
+class PassedResponse(web.StreamResponse):
+    """A worker's answer, without the headers that the library would add."""
+
+    def __init__(self, status: int, reason: str | None, headers: CIMultiDict[str]) -> None:
+        super().__init__(status=status, reason=reason, headers=headers)
+        self._given = {name.lower() for name in headers}
+
+    async def _prepare_headers(self) -> None:
+        await super()._prepare_headers()
+        for name in ("Server", "Date", "Content-Type"):
+            if name.lower() not in self._given:
+                self._headers.pop(name, None)
+
+
+def refusal(after: float = RETRY_AFTER) -> web.Response:
+    """The request has not run and never will; come back later."""
+    return web.Response(status=503, headers={"Retry-After": f"{after:.3f}"})
+
+
+def failure(status: int) -> web.Response:
+    """Nothing is promised."""
+    return web.Response(status=status)
+
+
+class Forwarder:
+    """Carries requests to workers."""
+
+    def __init__(self, pool: WorkerPool, admission: Admission) -> None:
+        self._pool, self._admission = pool, admission
+
+    async def carry(self, passage: Passage) -> web.StreamResponse:
+        """Serve a request: the worker's answer, or one of our own."""
+        held_until = passage.arrived + HOLD_SHARE * passage.route.target_latency
+        last = Tried.NOT_RUN
+        for _ in range(SENDS):
+            worker = self._admission.pick(passage.service, passage.prefix, passage.tried)
+            while worker is None and time.monotonic() < held_until and not passage.tried:
+                await self._wait_for_worker(held_until)
+                worker = self._admission.pick(passage.service, passage.prefix, passage.tried)
+            if worker is None or passage.deadline - time.monotonic() < 0.01:
+                break
+            outcome = await self._attempt(passage, worker)
+            if isinstance(outcome, web.StreamResponse):
+                return outcome
+            last = outcome
+            passage.tried.add(worker.entry.id)
+            if outcome is Tried.MAYBE_RAN:
+                passage.runs += 1
+                if not passage.route.repeatable or passage.runs >= passage.route.max_attempts:
+                    break
+        return self._give_up(passage, last)
+
+    async def _wait_for_worker(self, until: float) -> None:
+        try:
+            async with asyncio.timeout(max(0.0, min(0.02, until - time.monotonic()))):
+                await self._pool.changed.wait()
+        except TimeoutError:
+            return
+
+    def _give_up(self, passage: Passage, last: Tried) -> web.StreamResponse:
+        if passage.response is not None:
+            raise Broken
+        if passage.runs and not passage.route.repeatable:
+            return failure(504 if time.monotonic() >= passage.deadline else 502)
+        if passage.runs:
+            return failure(502)
+        return refusal()
+
+    async def _attempt(self, passage: Passage, worker: WorkerState) -> web.StreamResponse | Tried:
+        admission = self._admission
+        admission.sent(worker, passage.prefix)
+        well = False
+        try:
+            async with asyncio.timeout_at(asyncio.get_running_loop().time() + passage.deadline - time.monotonic()):
+                answer = await worker.request(
+                    passage.request.method, passage.request.raw_path, self._headers(passage, worker), passage.body
+                )
+                try:
+                    result = await self._relay(passage, worker, answer)
+                    well = True
+                    return result
+                finally:
+                    if not well:
+                        answer.close()
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            admission.failed(worker)
+            return Tried.NOT_RUN
+        except (aiohttp.ClientError, ConnectionError, Broken):
+            admission.failed(worker)
+            return Tried.MAYBE_RAN
+        except TimeoutError:
+            return Tried.MAYBE_RAN
+        finally:
+            admission.done(worker, well)
+
+    def _headers(self, passage: Passage, worker: WorkerState) -> CIMultiDict[str]:
+        headers = request_headers(passage.request.headers)
+        left = passage.deadline - time.monotonic()
+        headers[DEADLINE] = str(max(1, int(left * 1000)))
+        headers[TARGET] = worker.entry.id
+        if passage.last_event is not None:
+            headers[LAST_EVENT] = str(passage.last_event)
+        return headers
+
+    async def _relay(
+        self, passage: Passage, worker: WorkerState, answer: aiohttp.ClientResponse
+    ) -> web.StreamResponse | Tried:
+        """Pass an answer on. Raises Broken where it ends early."""
+        worker.learn_idle(answer.headers.get("Keep-Alive"))
+        if NOT_EXECUTED in answer.headers or answer.status == 421:
+            await answer.read()
+            if answer.status == 503:
+                self._admission.full(worker)
+                return Tried.FULL
+            if answer.status == 421:
+                self._admission.failed(worker)
+            if answer.status in (429, 421, 503):
+                return Tried.NOT_RUN
+        if answer.headers.get(REQUEST_ID) != passage.request.headers.get(REQUEST_ID):
+            answer.close()
+            raise Broken
+        resumes = passage.route.type is RouteType.STREAMING and passage.route.resumable and answer.status == 200
+        if passage.response is not None and answer.status != 200:
+            raise Broken
+        if resumes:
+            return await self._relay_events(passage, answer)
+        if passage.route.type is RouteType.STREAMING and answer.status == 200:
+            return await self._relay_pieces(passage, answer)
+        body = await answer.read()
+        response = PassedResponse(answer.status, answer.reason, answer_headers(answer))
+        response.content_length = len(body)
+        await response.prepare(passage.request)
+        await response.write(body)
+        await response.write_eof()
+        return response
+
+    async def _open(self, passage: Passage, answer: aiohttp.ClientResponse) -> web.StreamResponse:
+        if passage.response is None:
+            passage.response = PassedResponse(answer.status, answer.reason, answer_headers(answer))
+            if answer.content_length is not None and not passage.route.resumable:
+                passage.response.content_length = answer.content_length
+            else:
+                passage.response.enable_chunked_encoding()
+            await passage.response.prepare(passage.request)
+        return passage.response
+
+    async def _relay_pieces(self, passage: Passage, answer: aiohttp.ClientResponse) -> web.StreamResponse:
+        async for piece in answer.content.iter_any():
+            response = await self._open(passage, answer)
+            await response.write(piece)
+        response = await self._open(passage, answer)
+        await response.write_eof()
+        return response
+
+    async def _relay_events(self, passage: Passage, answer: aiohttp.ClientResponse) -> web.StreamResponse:
+        reader = EventReader()
+        async for piece in answer.content.iter_any():
+            whole = b""
+            for event in reader.feed(piece):
+                if event.id is not None:
+                    if passage.last_event is not None and event.id <= passage.last_event:
+                        continue
+                    passage.last_event = event.id
+                whole += event.raw
+            if whole:
+                response = await self._open(passage, answer)
+                await response.write(whole)
+        response = await self._open(passage, answer)
+        if reader.partial:
+            await response.write(reader.partial)
+        await response.write_eof()
+        return response
+
+
+def request_headers(headers: Mapping[str, str]) -> CIMultiDict[str]:
+    """A request's headers as they are passed on."""
+    named = {n.strip().lower() for n in headers.get("Connection", "").split(",")}
+    passed: CIMultiDict[str] = CIMultiDict()
+    for name, value in headers.items():
+        if name.lower() not in HOP_HEADERS and name.lower() not in named and name.lower() not in OWN_HEADERS:
+            passed.add(name, value)
+    return passed
+
+
+def answer_headers(answer: aiohttp.ClientResponse) -> CIMultiDict[str]:
+    """An answer's headers as they are passed on."""
+    passed: CIMultiDict[str] = CIMultiDict()
+    for name, value in answer.headers.items():
+        if name.lower() not in HOP_HEADERS:
+            passed.add(name, value)
+    return passed
--- /dev/null
+++ b/heronstall/dataplane/ingress.py
@@ -0,0 +1,88 @@
+"""Takes clients' requests on the front address: reads, routes, answers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+import structlog
+from aiohttp import web
+
+from heronstall.dataplane.batch_front import BatchFront
+from heronstall.dataplane.forwarding import DEADLINE, Broken, Forwarder, Passage, failure, refusal
+from heronstall.dataplane.routing import Routes, RouteType
+
+log = structlog.get_logger()
+
+LOTS = "/-/lots/"
+ITEMS = "/-/items/"
+BODY_WITHIN = 10.0  # seconds for a request's body
+PATIENCE = 60.0  # seconds, where a client names no deadline
+
+
+class Ingress:
+    """Answers clients."""
+
+    def __init__(self, forwarder: Forwarder, batch: BatchFront, rng: random.Random) -> None:
+        self.routes = Routes()
+        self.draining = False
+        self.active = 0
+        self._forwarder, self._batch, self._random = forwarder, batch, rng
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        self.active += 1
+        try:
+            response = await self._answer(request)
+        except Broken:
+            if request.transport is not None:
+                request.transport.abort()
+            raise asyncio.CancelledError from None
+        finally:
+            self.active -= 1
+        return response
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        arrived = time.monotonic()
+        if not self.routes.revision:
+            return self._closing(refusal())
+        try:
+            async with asyncio.timeout(BODY_WITHIN):
+                body = await request.read()
+        except TimeoutError:
+            return self._closing(failure(408))
+        except web.HTTPRequestEntityTooLarge:
+            return self._closing(failure(413))
+        host = request.headers.get("Host", "")
+        path = request.raw_path.partition("?")[0]
+        if path.startswith("/-/"):
+            return self._closing(await self._batch_call(request, host, path))
+        route = self.routes.find(host, path)
+        if route is None:
+            return self._closing(failure(404))
+        if route.type is RouteType.BATCH:
+            return self._closing(await self._batch.submit(request, route, body))
+        patience = min(_deadline(request), route.timeout)
+        service = route.service(self._random)
+        passage = Passage(request, route, service, body, arrived + patience, arrived)
+        return self._closing(await self._forwarder.carry(passage))
+
+    async def _batch_call(self, request: web.BaseRequest, host: str, path: str) -> web.StreamResponse:
+        if path.startswith(LOTS) and request.method == "GET":
+            return await self._batch.read(request, host, path.removeprefix(LOTS))
+        if path.startswith(LOTS) and request.method == "DELETE":
+            return await self._batch.end(host, path.removeprefix(LOTS))
+        if path.startswith(ITEMS) and request.method == "GET":
+            return await self._batch.body(request, host, path.removeprefix(ITEMS))
+        return failure(404)
+
+    def _closing(self, response: web.StreamResponse) -> web.StreamResponse:
+        if self.draining and not response.prepared:
+            response.force_close()
+        return response
+
+
+def _deadline(request: web.BaseRequest) -> float:
+    text = request.headers.get(DEADLINE, "")
+    return int(text) / 1000 if text.isdigit() and int(text) > 0 else PATIENCE
--- /dev/null
+++ b/heronstall/dataplane/node.py
@@ -0,0 +1,114 @@
+"""An edge node: everything that the data plane program runs, put together."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import Any
+
+import structlog
+from aiohttp import web
+
+from heronstall.config import NodeSettings
+from heronstall.dataplane.admission import Admission
+from heronstall.dataplane.batch_front import BatchFront
+from heronstall.dataplane.batch_runner import BatchRunner
+from heronstall.dataplane.forwarding import Forwarder
+from heronstall.dataplane.ingress import Ingress
+from heronstall.dataplane.routing import read_routes
+from heronstall.dataplane.shard_client import ShardClient
+from heronstall.dataplane.workers import WorkerPool
+from heronstall.distribution.view import View
+from heronstall.transport.links import Links
+from heronstall.transport.messages import Session
+from heronstall.transport.pulling import Puller
+
+log = structlog.get_logger()
+
+LEAVE_AFTER = 2.3  # seconds of not being ready until clients have gone elsewhere
+LAST_MOMENT = 0.6  # seconds of the grace time that are kept for the end
+
+
+class EdgeNode:
+    """One dispatcher."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self.settings = settings
+        rng = random.Random()
+        self.links = Links()
+        self.view = View()
+        self.pool = WorkerPool()
+        self.admission = Admission(self.pool, rng)
+        shards = ShardClient(self.links, self.view)
+        self.runner = BatchRunner(settings.name, shards, self.admission, lambda: self.ingress.routes)
+        forwarder = Forwarder(self.pool, self.admission)
+        self.ingress = Ingress(forwarder, BatchFront(shards), rng)
+        seeds = [f"{seed.rpartition(':')[0]}:{settings.port}" for seed in settings.seeds]
+        self.puller = Puller(self.links, self.view, self._session, seeds, self._news)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._runners: list[web.ServerRunner] = []
+
+    async def start(self) -> None:
+        """Begin to pull the control state and to listen."""
+        runs = (self.puller.run(), self.runner.report())
+        self._tasks = [asyncio.create_task(run) for run in runs]
+        await self._listen("front", self.ingress.handle, handler_cancellation=True)
+        await self._listen("readiness", self._ready)
+
+    async def stop(self) -> None:
+        """Leave without a cut answer: first out of the platform's list, then no more connections, then the end."""
+        began = time.monotonic()
+        self.ingress.draining = True
+        await self.runner.stop()
+        until = began + self.settings.bounds.grace - LAST_MOMENT
+        while time.monotonic() < until:
+            idle = not self.ingress.active and not self.runner.running
+            if idle and time.monotonic() - began > LEAVE_AFTER:
+                break
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(0.1)
+        for task in self._tasks:
+            task.cancel()
+
+    def _session(self) -> Session:
+        address = f"{self.settings.ip}:{self.settings.port}"
+        return Session(self.settings.name, "edge", address, self.settings.zone)
+
+    def _news(self, changed: set[str]) -> None:
+        if "config" in changed:
+            self.ingress.routes = read_routes(self.view.document)
+            log.info("configuration", revision=self.ingress.routes.revision)
+            self.runner.routes_changed()
+        if "workers" in changed:
+            self.pool.update(self.view.all_workers())
+        self.admission.edges = self.view.edges
+
+    async def _ready(self, request: web.BaseRequest) -> web.StreamResponse:
+        ready = self.ingress.routes.revision and not self.ingress.draining
+        return web.Response(status=200 if ready else 503)
+
+    async def _listen(self, name: str, handle: Any, **options: Any) -> None:
+        server = web.Server(
+            handle,
+            request_factory=self._request,
+            access_log=None,
+            max_line_size=65536,
+            max_field_size=65536,
+            auto_decompress=False,
+            lingering_time=1.0,
+            **options,
+        )
+        runner = web.ServerRunner(server)
+        await runner.setup()
+        host, _, port = self.settings.listen[name].rpartition(":")
+        site = web.TCPSite(runner, host, int(port), reuse_address=True, backlog=1024, shutdown_timeout=0.1)
+        await site.start()
+        self._runners.append(runner)
+
+    def _request(self, message: Any, payload: Any, protocol: Any, writer: Any, task: Any) -> web.BaseRequest:
+        limit = self.ingress.routes.limits.body_bytes
+        loop = asyncio.get_running_loop()
+        return web.BaseRequest(message, payload, protocol, writer, task, loop, client_max_size=limit)
+
+
--- /dev/null
+++ b/heronstall/dataplane/routing.py
@@ -0,0 +1,154 @@
+"""Routes of the operator's configuration, as the data plane uses them."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+import ujson
+
+
+class RouteType(Enum):
+    """What may be repeated on a route."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAMING = "streaming"
+    BATCH = "batch"
+
+
+@dataclass(frozen=True)
+class Route:
+    """A route; times in seconds."""
+
+    name: str
+    host: str
+    prefix: str
+    type: RouteType
+    targets: tuple[tuple[str, float], ...]  # service, weight
+    timeout: float
+    target_latency: float
+    priority: int
+    max_attempts: int
+    resumable: bool
+    gap_aim: float
+    completion: float
+    retention: float
+    max_queued_tokens: int
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.type is RouteType.IDEMPOTENT or self.resumable
+
+    def service(self, rng: random.Random) -> str:
+        """A service, drawn by the route's weights."""
+        if len(self.targets) == 1:
+            return self.targets[0][0]
+        return rng.choices([t[0] for t in self.targets], [t[1] for t in self.targets])[0]
+
+
+@dataclass(frozen=True)
+class Service:
+    """A service as the configuration describes it."""
+
+    name: str
+    health_check: str
+    max_connections: int
+    capacity: int
+    cache_tokens: int
+
+
+@dataclass(frozen=True)
+class Limits:
+    """What a client may send, in bytes and seconds."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 4 * 1024 * 1024
+    header_timeout: float = 3.0
+    idle_timeout: float = 15.0
+
+
+@dataclass
+class Routes:
+    """All routes, services and limits of one configuration."""
+
+    revision: int = 0
+    by_host: dict[str, list[Route]] = field(default_factory=dict)
+    services: dict[str, Service] = field(default_factory=dict)
+    limits: Limits = Limits()
+
+    def find(self, host: str, path: str) -> Route | None:
+        """The route of a host with the longest prefix that begins a path."""
+        for route in self.by_host.get(host_name(host), ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def batch_hosts(self) -> set[str]:
+        """Hosts that have a route for batch jobs."""
+        return {h for h, routes in self.by_host.items() if any(r.type is RouteType.BATCH for r in routes)}
+
+
+def host_name(host: str) -> str:
+    """A Host header's name without its port, in lower case."""
+    name, colon, port = host.rpartition(":")
+    return (name if colon and port.isdigit() else host).lower()
+
+
+def read_routes(document: bytes) -> Routes:
+    """Routes of a configuration that the control plane has checked."""
+    raw = ujson.loads(document)
+    routes = Routes(revision=raw["revision"], limits=_limits(raw.get("limits") or {}))
+    for service in raw.get("services", []):
+        engine = service.get("engine") or {}
+        routes.services[service["name"]] = Service(
+            name=service["name"],
+            health_check=service.get("health_check") or "/healthz",
+            max_connections=int(service.get("max_connections") or 64),
+            capacity=int(engine.get("capacity") or 0),
+            cache_tokens=int(engine.get("kv_cache_tokens") or 0),
+        )
+    for entry in raw.get("routes", []):
+        route = _route(entry)
+        routes.by_host.setdefault(route.host, []).append(route)
+    for host_routes in routes.by_host.values():
+        host_routes.sort(key=lambda r: -len(r.prefix))
+    return routes
+
+
+def _route(raw: Mapping[str, Any]) -> Route:
+    split = tuple((s["service"], float(s["weight"])) for s in raw.get("traffic_split") or ())
+    try:
+        kind = RouteType(raw.get("route_type") or "non_idempotent")
+    except ValueError:
+        kind = RouteType.NON_IDEMPOTENT
+    return Route(
+        name=raw["name"],
+        host=host_name(raw["hostname"]),
+        prefix=raw["path_prefix"],
+        type=kind,
+        targets=split or ((raw["service"], 1.0),),
+        timeout=float(raw["timeout_ms"]) / 1000,
+        target_latency=float(raw.get("target_latency_ms") or 1000) / 1000,
+        priority=int(raw.get("priority") or 0),
+        max_attempts=max(1, int(raw.get("max_attempts") or 1)),
+        resumable=bool(raw.get("resumable")),
+        gap_aim=float(raw.get("gap_aim_ms") or 250) / 1000,
+        completion=float(raw.get("completion_target_ms") or 10_000) / 1000,
+        retention=float(raw.get("retention_s") or 60),
+        max_queued_tokens=int(raw.get("max_queued_tokens") or 0),
+    )
+
+
+def _limits(raw: Mapping[str, Any]) -> Limits:
+    plain = Limits()
+    return Limits(
+        header_bytes=int(raw.get("max_header_bytes") or plain.header_bytes),
+        body_bytes=int(raw.get("max_body_bytes") or plain.body_bytes),
+        header_timeout=float(raw.get("header_timeout_ms") or 3000) / 1000,
+        idle_timeout=float(raw.get("idle_timeout_ms") or 15_000) / 1000,
+    )
--- /dev/null
+++ b/heronstall/dataplane/workers.py
@@ -0,0 +1,112 @@
+"""Workers as this dispatcher knows them: streams in flight, connections, troubles seen."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+import aiohttp
+from multidict import CIMultiDict
+from yarl import URL
+
+from heronstall.transport.messages import Worker as Entry
+
+CONNECT_WITHIN = 0.5  # seconds; a connection that takes longer has carried nothing
+IDLE_FIRST = 2.0  # seconds that a connection may rest before the worker has told more
+IDLE_SHARE = 0.7  # part of the told time that is used
+SKIPPED_HEADERS = frozenset({"Accept", "Accept-Encoding", "User-Agent", "Content-Type"})
+
+
+@dataclass
+class WorkerState:
+    """One incarnation of a worker."""
+
+    entry: Entry
+    inflight: int = 0  # own requests and items there
+    items: int = 0  # own batch items there
+    failures: float = 0.0
+    avoid_until: float = 0.0  # steady time
+    slow_until: float = 0.0
+    first_token: float = 0.05  # seconds, learnt
+    prefixes: dict[str, float] = field(default_factory=dict)  # shared parts lately sent here
+    _session: aiohttp.ClientSession | None = None
+    _connector: aiohttp.TCPConnector | None = None
+
+    @property
+    def ready(self) -> bool:
+        """Whether new work may go there, by its own word."""
+        return self.entry.state == "ready"
+
+    def session(self) -> aiohttp.ClientSession:
+        """Connections to this incarnation alone: an address may be another worker's later."""
+        if self._session is None:
+            self._connector = aiohttp.TCPConnector(
+                limit=0, keepalive_timeout=IDLE_FIRST, enable_cleanup_closed=False, use_dns_cache=False
+            )
+            self._session = aiohttp.ClientSession(
+                connector=self._connector,
+                auto_decompress=False,
+                cookie_jar=aiohttp.DummyCookieJar(),
+                skip_auto_headers=SKIPPED_HEADERS,
+                timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_WITHIN),
+                read_bufsize=2**16,
+                max_line_size=65536,
+                max_field_size=65536,
+            )
+            # aiohttp repeats GET, PUT and DELETE by itself when a kept connection drops: a run unseen by us.
+            self._session._retry_connection = False
+        return self._session
+
+    async def request(self, method: str, path: str, headers: CIMultiDict[str], body: bytes) -> aiohttp.ClientResponse:
+        """Send one request, once; returns when the head of the answer is there."""
+        url = URL(f"http://{self.entry.address}{path}", encoded=True)
+        return await self.session().request(
+            method, url, headers=headers, data=body or None, allow_redirects=False
+        )
+
+    def learn_idle(self, keep_alive: str | None) -> None:
+        """Take the time that the worker lets a connection rest, from a Keep-Alive header."""
+        if keep_alive is None or self._connector is None:
+            return
+        for part in keep_alive.split(","):
+            name, _, value = part.strip().partition("=")
+            if name.lower() == "timeout" and value.strip().isdigit():
+                self._connector._keepalive_timeout = max(0.3, IDLE_SHARE * int(value))
+
+    def close(self) -> None:
+        """End all connections that rest; those in use end with their request."""
+        if self._session is not None:
+            asyncio.get_running_loop().create_task(self._session.close())
+            self._session = self._connector = None
+
+
+class WorkerPool:
+    """All workers by service."""
+
+    def __init__(self) -> None:
+        self.by_id: dict[str, WorkerState] = {}
+        self._by_service: dict[str, list[WorkerState]] = {}
+        self.changed = asyncio.Event()
+
+    def update(self, entries: dict[str, Entry]) -> None:
+        """Take the registry's workers."""
+        for worker in [w for name, w in self.by_id.items() if name not in entries]:
+            del self.by_id[worker.entry.id]
+            worker.entry.state = "gone"
+            if not worker.inflight:
+                worker.close()
+        for name, entry in entries.items():
+            known = self.by_id.get(name)
+            if known is None:
+                self.by_id[name] = WorkerState(entry)
+            else:
+                known.entry = entry
+        self._by_service = {}
+        for worker in self.by_id.values():
+            self._by_service.setdefault(worker.entry.service, []).append(worker)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def of(self, service: str) -> list[WorkerState]:
+        """All workers of a service."""
+        return self._by_service.get(service, [])
--- /dev/null
+++ b/heronstall/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""What is told to whom, by version vectors, free of I/O."""
--- /dev/null
+++ b/heronstall/distribution/view.py
@@ -0,0 +1,60 @@
+"""What a node has pulled of the control state, by version vector. No version ever goes back."""
+
+from __future__ import annotations
+
+from heronstall.transport.messages import Placement, ShardVersion, SyncReply, Worker, WorkerChange
+
+
+class View:
+    """Configuration, placements and workers as this node knows them."""
+
+    def __init__(self) -> None:
+        self.versions: dict[str, int] = {}
+        self.document = b""
+        self.placements: dict[str, Placement] = {}
+        self.workers: dict[str, dict[str, Worker]] = {}
+        self.control: tuple[str, ...] = ()
+        self.edges = 1
+
+    def vector(self) -> list[ShardVersion]:
+        """What this node holds, for its next pull."""
+        return [ShardVersion(shard, version) for shard, version in self.versions.items()]
+
+    def take(self, reply: SyncReply) -> set[str]:
+        """Take an answer; the names of what has changed."""
+        changed: set[str] = set()
+        if reply.config_version > self.versions.get("config", 0) and reply.document:
+            self.versions["config"] = reply.config_version
+            self.document = reply.document
+            changed.add("config")
+        if reply.placement_version > self.versions.get("placement", 0):
+            self.versions["placement"] = reply.placement_version
+            self.placements = {p.shard: p for p in reply.placements}
+            changed.add("placement")
+        for delta in reply.workers:
+            if delta.version > self.versions.get(delta.shard, 0):
+                self.versions[delta.shard] = delta.version
+                self._take_workers(delta.shard, delta.complete, list(delta.changes))
+                changed.add("workers")
+        self.control = tuple(reply.control) or self.control
+        self.edges = max(1, reply.edges)
+        return changed
+
+    def all_workers(self) -> dict[str, Worker]:
+        """Workers by identity, over all shards."""
+        return {name: worker for shard in self.workers.values() for name, worker in shard.items()}
+
+    def placement_of(self, shard: str) -> tuple[str, ...]:
+        """The replicas of a batch shard."""
+        placement = self.placements.get(shard)
+        return tuple(placement.replicas) if placement else ()
+
+    def _take_workers(self, shard: str, complete: bool, changes: list[WorkerChange]) -> None:
+        table = self.workers.setdefault(shard, {})
+        if complete:
+            table.clear()
+        for change in changes:
+            if change.removed:
+                table.pop(change.id, None)
+            else:
+                table[change.worker.id] = change.worker
--- /dev/null
+++ b/heronstall/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Which node holds which role, by key, free of I/O."""
--- /dev/null
+++ b/heronstall/replication/protocol.py
@@ -0,0 +1,62 @@
+"""Constants and figures of the replication protocol."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+
+class MessageKind(IntEnum):
+    """What a GroupMessage says."""
+
+    PRE_VOTE = 1
+    PRE_VOTE_REPLY = 2
+    VOTE = 3
+    VOTE_REPLY = 4
+    APPEND = 5
+    APPEND_REPLY = 6
+    SNAPSHOT = 7
+    JOIN = 8
+    TAKE_OVER = 9
+
+
+class EntryKind(IntEnum):
+    """What a log entry carries."""
+
+    EMPTY = 0
+    COMMAND = 1
+    MEMBERS = 2
+
+
+class RecordKind(IntEnum):
+    """What a record on disk says of a group."""
+
+    VOTE = 1
+    ENTRIES = 2
+    SNAPSHOT = 3
+
+
+@dataclass(frozen=True)
+class Timing:
+    """Times in seconds. A lease is shorter than the least election time-out, so that it ends first."""
+
+    heartbeat: float = 0.15
+    election_least: float = 0.6
+    election_most: float = 1.1
+    lease: float = 0.5
+    resend_snapshot: float = 2.0
+    join: float = 0.7
+    dead: float = 3.0
+
+
+APPEND_BYTES = 1024 * 1024  # of entries in one message
+
+
+def quorum(voters: int) -> int:
+    """How many of so many voters decide."""
+    return voters // 2 + 1
+
+
+def address_of(replica: str) -> str:
+    """The address in a replica's identity `ADDRESS#INCARNATION`."""
+    return replica.partition("#")[0]
--- /dev/null
+++ b/heronstall/storage/journal.py
@@ -0,0 +1,167 @@
+"""A node's files: two slots with whole images, written in turn, and the log of what came since.
+
+Everything is checksummed. A record is kept once `sync` has returned. The tail of a log that was never
+synced may be cut, torn or full of holes: reading stops at the first record that is not whole.
+"""
+
+from __future__ import annotations
+
+import os
+import struct
+import zlib
+from dataclasses import dataclass
+from pathlib import Path
+
+MAGIC = b"HSTL"
+FORMAT = 1
+SLOT_HEAD = struct.Struct("!4sHHQQI")  # magic, format, number of parts, sequence, length, checksum
+RECORD_HEAD = struct.Struct("!II")  # length, checksum
+
+
+class StorageError(Exception):
+    """The folder cannot be used; the message says why."""
+
+
+@dataclass(frozen=True)
+class Recovered:
+    """What was found on disk. `parts` is None on a disk without a whole slot."""
+
+    parts: tuple[bytes, ...] | None
+    records: tuple[bytes, ...]
+    damaged: bool  # a slot was there, and none is whole
+
+
+def encode_slot(sequence: int, parts: list[bytes]) -> bytes:
+    """The bytes of a slot file."""
+    body = b"".join(RECORD_HEAD.pack(len(p), zlib.crc32(p)) + p for p in parts)
+    return SLOT_HEAD.pack(MAGIC, FORMAT, len(parts), sequence, len(body), zlib.crc32(body)) + body
+
+
+def decode_slot(data: bytes) -> tuple[int, tuple[bytes, ...]] | None:
+    """Sequence and parts of a slot file; None where it is not whole."""
+    if len(data) < SLOT_HEAD.size:
+        return None
+    magic, version, count, sequence, length, checksum = SLOT_HEAD.unpack_from(data)
+    body = data[SLOT_HEAD.size : SLOT_HEAD.size + length]
+    if magic != MAGIC or version != FORMAT or len(body) != length or zlib.crc32(body) != checksum:
+        return None
+    parts, _ = decode_records(body)
+    return (sequence, tuple(parts)) if len(parts) == count else None
+
+
+def encode_record(payload: bytes) -> bytes:
+    """The bytes of a record in a log."""
+    return RECORD_HEAD.pack(len(payload), zlib.crc32(payload)) + payload
+
+
+def decode_records(data: bytes) -> tuple[list[bytes], int]:
+    """The whole records from the start of a log, and the length that they take up."""
+    found: list[bytes] = []
+    at = 0
+    while len(data) - at >= RECORD_HEAD.size:
+        length, checksum = RECORD_HEAD.unpack_from(data, at)
+        payload = data[at + RECORD_HEAD.size : at + RECORD_HEAD.size + length]
+        if length == 0 or len(payload) != length or zlib.crc32(payload) != checksum:
+            break
+        found.append(payload)
+        at += RECORD_HEAD.size + length
+    return found, at
+
+
+class Journal:
+    """The files of one process. All calls wait for the disk."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._sequence = 0
+        self._log: int | None = None
+        self._length = 0  # of what is whole in the log
+        self._unsynced = False
+
+    @property
+    def log_bytes(self) -> int:
+        """Length of the log since the last slot."""
+        return self._length
+
+    def recover(self) -> Recovered:
+        """Read what is there and make the log ready for more."""
+        try:
+            self._folder.mkdir(parents=True, exist_ok=True)
+            slots = [self._read(self._slot(n)) for n in (0, 1)]
+        except OSError as error:
+            raise StorageError(f"{self._folder}: {error}") from error
+        whole = [decoded for data in slots if data and (decoded := decode_slot(data))]
+        if not whole:
+            return Recovered(None, (), damaged=any(slots))
+        self._sequence, parts = max(whole)
+        data = self._read(self._log_path(self._sequence)) or b""
+        records, self._length = decode_records(data)
+        self._open_log()
+        return Recovered(parts, tuple(records), damaged=False)
+
+    def append(self, payloads: list[bytes]) -> None:
+        """Write records. Raises OSError; the log is then as it was before."""
+        assert self._log is not None
+        data = b"".join(map(encode_record, payloads))
+        try:
+            written = 0
+            while written < len(data):
+                written += os.pwrite(self._log, data[written:], self._length + written)
+        except OSError:
+            os.ftruncate(self._log, self._length)
+            raise
+        self._length += len(data)
+        self._unsynced = True
+
+    def sync(self) -> None:
+        """Wait until all records are on the disk."""
+        if self._unsynced and self._log is not None:
+            os.fdatasync(self._log)
+            self._unsynced = False
+
+    def write_slot(self, parts: list[bytes]) -> None:
+        """Write an image that replaces all before it, and begin a new log. Raises OSError."""
+        following = self._sequence + 1
+        descriptor = os.open(self._slot(following % 2), os.O_CREAT | os.O_WRONLY | os.O_TRUNC, 0o644)
+        try:
+            data = encode_slot(following, parts)
+            written = 0
+            while written < len(data):
+                written += os.write(descriptor, data[written:])
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+        self._sync_folder()
+        former = self._sequence
+        self._sequence, self._length = following, 0
+        if self._log is not None:
+            os.close(self._log)
+        self._open_log()
+        self._log_path(former).unlink(missing_ok=True)
+
+    def _open_log(self) -> None:
+        self._log = os.open(self._log_path(self._sequence), os.O_CREAT | os.O_RDWR, 0o644)
+        os.ftruncate(self._log, self._length)
+        os.fsync(self._log)
+        self._sync_folder()
+        self._unsynced = False
+
+    def _sync_folder(self) -> None:
+        descriptor = os.open(self._folder, os.O_RDONLY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+    def _slot(self, number: int) -> Path:
+        return self._folder / f"slot-{number}"
+
+    def _log_path(self, sequence: int) -> Path:
+        return self._folder / f"log-{sequence}"
+
+    @staticmethod
+    def _read(path: Path) -> bytes | None:
+        try:
+            return path.read_bytes()
+        except FileNotFoundError:
+            return None
