Replica groups stepped through orders of events under a checker

Random walks with losses, doubled and reordered messages, restarts and lost disks; all 560 orders of three threads; four planted mistakes found.

--- /dev/null
+++ b/tests/tier/cluster.py
@@ -0,0 +1,234 @@
+"""Steps replicas of one group through drawn or enumerated orders of events, and checks what must always hold."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from heronstall.replication.log import Image
+from heronstall.replication.protocol import EntryKind, RecordKind, Timing
+from heronstall.replication.replica import Replica, Role
+from heronstall.transport.messages import DiskRecord, GroupMessage
+
+GROUP = "g"
+
+
+class Violation(AssertionError):
+    """A promise of the protocol is broken."""
+
+
+class Machine:
+    """A list of commands as the state."""
+
+    def __init__(self) -> None:
+        self.commands: list[bytes] = []
+
+    def dump(self) -> bytes:
+        return b",".join(self.commands)
+
+    def restore(self, state: bytes) -> None:
+        self.commands = state.split(b",") if state else []
+
+
+@dataclass
+class Disk:
+    """What a loss of power leaves, and what has been written since."""
+
+    synced: list[DiskRecord] = field(default_factory=list)
+
+    def image(self) -> Image | None:
+        image = Image()
+        for record in self.synced:
+            if record.kind == RecordKind.VOTE:
+                image.term, image.vote = record.term, record.vote
+            elif record.kind == RecordKind.SNAPSHOT:
+                image.snapshot, image.entries = record.snapshot, []
+            else:
+                first = record.entries[0].index
+                image.entries = [e for e in image.entries if e.index < first] + list(record.entries)
+        return image if self.synced else None
+
+
+@dataclass
+class Node:
+    name: str
+    incarnation: int
+    disk: Disk
+    replica: Replica
+    machine: Machine
+
+    @property
+    def identity(self) -> str:
+        return f"{self.name}#{self.incarnation}"
+
+
+class Cluster:
+    """Replicas, their disks and the messages between them. `made` builds a replica; tests plant mistakes by it."""
+
+    def __init__(self, size: int, seed: int, made: type[Replica] = Replica, sync_first: bool = True) -> None:
+        self.rng = random.Random(seed)
+        self.timing = Timing()
+        self.now = 100.0
+        self.made, self.sync_first = made, sync_first
+        self.network: list[GroupMessage] = []
+        self.acknowledged: list[bytes] = []
+        self.leaders: dict[int, str] = {}
+        self.applied: dict[int, tuple[int, bytes]] = {}  # by index: term, command
+        self.proposed: dict[tuple[str, int, int], bytes] = {}
+        self.number = 0
+        names = [f"n{k}" for k in range(size)]
+        self.nodes = {name: self._boot(name, 0, Disk()) for name in names}
+        first = tuple(f"{name}#0" for name in names)
+        for node in self.nodes.values():
+            node.replica.form(self.now, first)
+            self.settle(node)
+
+    # ------------------------------------------------------------------ what may happen
+
+    def pass_time(self, seconds: float) -> None:
+        self.now += seconds
+
+    def tick(self, name: str) -> None:
+        node = self.nodes[name]
+        node.replica.tick(self.now)
+        self.settle(node)
+
+    def deliver(self, position: int, keep: bool = False) -> None:
+        message = self.network[position] if keep else self.network.pop(position)
+        node = self.nodes[message.recipient.partition("#")[0]]
+        node.replica.receive(self.now, GroupMessage().parse(bytes(message)))
+        self.settle(node)
+
+    def lose(self, position: int) -> None:
+        del self.network[position]
+
+    def propose(self, name: str) -> None:
+        node = self.nodes[name]
+        self.number += 1
+        command = b"c%d" % self.number
+        index = node.replica.propose(self.now, command)
+        if index is not None:
+            self.proposed[node.identity, node.replica.term, index] = command
+        self.settle(node)
+
+    def restart(self, name: str, wiped: bool = False) -> None:
+        node = self.nodes[name]
+        disk = Disk() if wiped else node.disk
+        self.nodes[name] = self._boot(name, node.incarnation + int(wiped), disk)
+
+    def rejoin(self, name: str) -> None:
+        node = self.nodes[name]
+        others = [n.identity for n in self.nodes.values() if n is not node]
+        node.replica.ask_to_join(self.now, others)
+        self.settle(node)
+
+    def members(self, name: str) -> None:
+        """A leader replaces a former incarnation by the present one, a step at a time."""
+        from heronstall.replication import membership
+
+        replica = self.nodes[name].replica
+        wanted = membership.wanted_voters(replica, len(self.nodes), self.now, self.timing)
+        if wanted:
+            membership.step(replica, wanted, self.now, self.timing)
+        self.settle(self.nodes[name])
+
+    # ------------------------------------------------------------------ how a node carries it out
+
+    def settle(self, node: Node) -> None:
+        for _ in range(8):
+            out = node.replica.take_output()
+            self.network += out.early
+            if not self.sync_first:
+                self.network += out.late
+            node.disk.synced += [DiskRecord().parse(bytes(r)) for r in out.records]
+            if out.records:
+                node.replica.synced(self.now)
+            if self.sync_first:
+                self.network += out.late
+            if out.install is not None:
+                node.machine.restore(out.install.state)
+            for entry in out.apply:
+                self._apply(node, entry.index, entry.term, entry.kind, entry.data)
+            if not (out.early or out.late or out.records or out.apply or out.install):
+                break
+        self._check_leader(node)
+
+    def _apply(self, node: Node, index: int, term: int, kind: int, data: bytes) -> None:
+        known = self.applied.setdefault(index, (term, data))
+        if known != (term, data):
+            raise Violation(f"index {index}: {known} and {(term, data)}")
+        if kind != EntryKind.COMMAND:
+            return
+        node.machine.commands.append(data)
+        if self.proposed.get((node.identity, term, index)) == data and node.replica.role is Role.LEADER:
+            self.acknowledged.append(data)
+
+    def _check_leader(self, node: Node) -> None:
+        replica = node.replica
+        if replica.role is Role.LEADER:
+            holder = self.leaders.setdefault(replica.term, node.identity)
+            if holder != node.identity:
+                raise Violation(f"term {replica.term}: {holder} and {node.identity} lead")
+        if replica.holds_lease(self.now):
+            missing = [c for c in self.acknowledged if c not in node.machine.commands]
+            if missing:
+                raise Violation(f"{node.identity} may serve and has not {missing}")
+
+    def _boot(self, name: str, incarnation: int, disk: Disk) -> Node:
+        machine = Machine()
+        image = disk.image()
+        replica = self.made(GROUP, f"{name}#{incarnation}", self.timing, self.rng, self.now, image)
+        replica.dump = machine.dump
+        if image is not None and image.snapshot is not None:
+            machine.restore(image.snapshot.state)
+        return Node(name, incarnation, disk, replica, machine)
+
+    # ------------------------------------------------------------------ orderly ways
+
+    def run(self, seconds: float, only: set[str] | None = None) -> None:
+        """Let time pass with every message delivered, among some of the nodes."""
+        end = self.now + seconds
+        while self.now < end:
+            self.pass_time(0.05)
+            for name in sorted(only or self.nodes):
+                self.tick(name)
+                self.rejoin(name)
+                self.members(name)
+            for _ in range(200):
+                if not self.network:
+                    break
+                recipient, sender = (
+                    self.network[0].recipient.partition("#")[0],
+                    self.network[0].sender.partition("#")[0],
+                )
+                if only is not None and not {recipient, sender} <= only:
+                    self.lose(0)
+                else:
+                    self.deliver(0)
+
+    def leader(self) -> Node | None:
+        """The node that may serve, if one may."""
+        return next((n for n in self.nodes.values() if n.replica.holds_lease(self.now)), None)
+
+    def step_at_random(self, wipes: int) -> None:
+        """One drawn event."""
+        name = self.rng.choice(sorted(self.nodes))
+        draw = self.rng.random()
+        if draw < 0.55 and self.network:
+            self.deliver(self.rng.randrange(len(self.network)))
+        elif draw < 0.60 and self.network:
+            self.lose(self.rng.randrange(len(self.network)))
+        elif draw < 0.63 and self.network:
+            self.deliver(self.rng.randrange(len(self.network)), keep=True)
+        elif draw < 0.72:
+            self.pass_time(self.rng.choice((0.05, 0.2, 0.7)))
+        elif draw < 0.86:
+            self.tick(name)
+        elif draw < 0.92:
+            self.propose(name)
+        elif draw < 0.95:
+            self.members(name)
+        elif draw < 0.98:
+            self.rejoin(name)
+        else:
+            self.restart(name, wiped=self.rng.random() < 0.4 and wipes > 0)
--- /dev/null
+++ b/tests/tier/test_replication.py
@@ -0,0 +1,223 @@
+"""Replica groups: elections, agreement, lost disks, leases; stepped through orders of events under a checker."""
+
+from __future__ import annotations
+
+import itertools
+import unittest
+
+from heronstall.replication.replica import Replica, Role
+from heronstall.transport.messages import GroupMessage
+from tests.tier.cluster import Cluster, Violation
+
+WALKS = 150
+STEPS = 400
+
+
+def walk(seed: int, made: type[Replica] = Replica, size: int = 3, sync_first: bool = True) -> Cluster:
+    """A drawn run with restarts; one disk at a time is lost, the next when the former is whole again."""
+    cluster = Cluster(size, seed, made, sync_first)
+    cluster.run(2.0)
+    wiped: str | None = None
+    for _ in range(STEPS):
+        before = {n: node.incarnation for n, node in cluster.nodes.items()}
+        healed = wiped is None or cluster.nodes[wiped].identity in _voters(cluster)
+        if healed:
+            wiped = None
+        cluster.step_at_random(wipes=int(healed))
+        changed = [n for n, node in cluster.nodes.items() if node.incarnation != before[n]]
+        wiped = changed[0] if changed else wiped
+    cluster.run(8.0)
+    leader = cluster.leader()
+    if leader is None:
+        raise Violation("no leader after eight calm seconds")
+    lost = [c for c in cluster.acknowledged if c not in leader.machine.commands]
+    if lost:
+        raise Violation(f"acknowledged and lost: {lost}")
+    return cluster
+
+
+def _voters(cluster: Cluster) -> tuple[str, ...]:
+    """Voters by a majority of the nodes."""
+    counts: dict[tuple[str, ...], int] = {}
+    for node in cluster.nodes.values():
+        log = node.replica.log
+        committed = log.members_at(node.replica.commit) if node.replica.commit >= log.base_index else ()
+        counts[committed] = counts.get(committed, 0) + 1
+    best = max(counts, key=lambda v: counts[v])
+    return best if counts[best] * 2 > len(cluster.nodes) else ()
+
+
+class VotesTwice(Replica):
+    """Planted: forgets its vote at a restart."""
+
+    def _record_vote(self) -> None:
+        if self.role is Role.CANDIDATE:
+            super()._record_vote()
+
+
+class CommitsByCount(Replica):
+    """Planted: commits entries of former terms by count."""
+
+    def _advance(self, now: float) -> None:
+        from heronstall.replication.protocol import quorum
+
+        matches = sorted([self._durable if v == self.me else self._match(v) for v in self.log.members])
+        index = matches[len(matches) - quorum(len(matches))] if matches else 0
+        self.commit = max(self.commit, index)
+
+
+class Forgetful(Replica):
+    """Planted: a replica without its disk votes under its former identity."""
+
+    def receive(self, now: float, m: GroupMessage) -> None:
+        if m.recipient.partition("#")[0] == self.me.partition("#")[0]:
+            m.recipient = self.me
+        super().receive(now, m)
+
+    def _won(self) -> bool:
+        names = {v.partition("#")[0] for v in self._votes}
+        return len(names) * 2 > len(self.log.members)
+
+
+class NoLeaseLimit(Replica):
+    """Planted: a leader serves as long as it believes itself to lead."""
+
+    def holds_lease(self, now: float) -> bool:
+        return self.established
+
+
+class Walks(unittest.TestCase):
+    def test_random_walks_keep_every_promise(self) -> None:
+        acknowledged = sum(len(walk(seed).acknowledged) for seed in range(WALKS))
+        self.assertGreater(acknowledged, WALKS)
+
+    def test_five_replicas(self) -> None:
+        for seed in range(WALKS // 5):
+            walk(seed, size=5)
+
+    def assert_found(self, made: type[Replica], sync_first: bool = True, size: int = 3) -> None:
+        for seed in range(1500):
+            try:
+                walk(seed, made, size, sync_first)
+            except Violation:
+                return
+        self.fail(f"{made.__name__} is not found")
+
+    def test_a_forgotten_vote_is_found(self) -> None:
+        self.assert_found(VotesTwice)
+
+    def test_a_commit_by_count_of_a_former_term_is_found(self) -> None:
+        self.assert_found(CommitsByCount)
+
+    def test_a_vote_after_the_loss_of_the_disk_is_found(self) -> None:
+        self.assert_found(Forgetful)
+
+    def test_a_lease_without_end_is_found(self) -> None:
+        self.assert_found(NoLeaseLimit)
+
+
+class Interleavings(unittest.TestCase):
+    def test_all_orders_of_two_proposals_a_cut_and_an_election(self) -> None:
+        """Every order of a few threads: two operators, a leader that is cut off, a restart, an election."""
+        threads = {
+            "first": ("propose n0", "deliver", "deliver"),
+            "second": ("propose n1", "deliver"),
+            "time": ("elect n1", "deliver", "restart n2"),
+        }
+        orders = set(itertools.permutations([t for t, steps in threads.items() for _ in steps]))
+        for order in orders:
+            cluster = Cluster(3, 7)
+            cluster.run(2.0)
+            left = {name: list(steps) for name, steps in threads.items()}
+            for name in order:
+                self.take(cluster, left[name].pop(0))
+            cluster.run(6.0)
+            leader = cluster.leader()
+            assert leader is not None
+            self.assertLessEqual(set(cluster.acknowledged), set(leader.machine.commands))
+        self.assertEqual(len(orders), 560)
+
+    def take(self, cluster: Cluster, step: str) -> None:
+        verb, _, name = step.partition(" ")
+        if verb == "propose":
+            cluster.propose(name)
+        elif verb == "deliver" and cluster.network:
+            cluster.deliver(0)
+        elif verb == "elect":
+            cluster.pass_time(2.0)
+            cluster.tick(name)
+        elif verb == "restart":
+            cluster.restart(name)
+
+
+class Losses(unittest.TestCase):
+    def settled(self, size: int = 3) -> Cluster:
+        cluster = Cluster(size, 3)
+        cluster.run(2.0)
+        leader = cluster.leader()
+        assert leader is not None
+        cluster.propose(leader.name)
+        cluster.run(0.5)
+        self.assertEqual(len(cluster.acknowledged), 1)
+        return cluster
+
+    def test_the_acknowledger_loses_its_disk_while_all_others_lose_power(self) -> None:
+        cluster = self.settled()
+        leader = cluster.leader()
+        assert leader is not None
+        cluster.network.clear()
+        for name in cluster.nodes:
+            cluster.restart(name, wiped=name == leader.name)
+        cluster.run(6.0)
+        after = cluster.leader()
+        assert after is not None
+        self.assertEqual(after.machine.commands, cluster.acknowledged)
+        self.assertIn(cluster.nodes[leader.name].identity, after.replica.log.members)
+
+    def test_an_empty_replica_and_a_stale_one_are_no_majority(self) -> None:
+        cluster = self.settled()
+        leader = cluster.leader()
+        assert leader is not None
+        stale, other = (n for n in cluster.nodes if n != leader.name)
+        cluster.run(0.3, only={leader.name, other})
+        cluster.propose(leader.name)
+        cluster.run(0.3, only={leader.name, other})
+        cluster.restart(other, wiped=True)
+        cluster.run(5.0, only={stale, other})
+        self.assertIsNone(cluster.leader())
+
+    def test_two_of_five_may_lose_their_disks_at_once(self) -> None:
+        cluster = self.settled(5)
+        leader = cluster.leader()
+        assert leader is not None
+        other = next(n for n in cluster.nodes if n != leader.name)
+        for name in cluster.nodes:
+            cluster.restart(name, wiped=name in (leader.name, other))
+        cluster.run(8.0)
+        after = cluster.leader()
+        assert after is not None
+        self.assertEqual(after.machine.commands, cluster.acknowledged)
+        self.assertEqual(len(after.replica.log.members), 5)
+
+    def test_a_frozen_leader_serves_nothing_when_it_wakes(self) -> None:
+        cluster = self.settled()
+        leader = cluster.leader()
+        assert leader is not None
+        cluster.run(3.0, only={n for n in cluster.nodes if n != leader.name})
+        self.assertIs(leader.replica.role, Role.LEADER)
+        self.assertFalse(leader.replica.holds_lease(cluster.now))
+
+    def test_a_leader_hands_over_before_it_ends(self) -> None:
+        cluster = self.settled()
+        leader = cluster.leader()
+        assert leader is not None
+        leader.replica.hand_over(cluster.now)
+        cluster.settle(leader)
+        cluster.run(0.3)
+        after = cluster.leader()
+        assert after is not None
+        self.assertNotEqual(after.name, leader.name)
+
+
+if __name__ == "__main__":
+    unittest.main()
