--- a/heronstall/dataplane/forwarding.py
+++ b/heronstall/dataplane/forwarding.py
@@ -99,6 +99,7 @@
 
     def __init__(self, pool: WorkerPool, admission: Admission) -> None:
         self._pool, self._admission = pool, admission
+        self.draining = False  # clients are told that their connection ends with the answer
 
     async def carry(self, passage: Passage) -> web.StreamResponse:
         """Serve a request: the worker's answer, or one of our own."""
@@ -201,6 +202,8 @@
         body = await answer.read()
         response = PassedResponse(answer.status, answer.reason, answer_headers(answer))
         response.content_length = len(body)
+        if self.draining:
+            response.force_close()
         await response.prepare(passage.request)
         await response.write(body)
         await response.write_eof()
@@ -213,6 +216,8 @@
                 passage.response.content_length = answer.content_length
             else:
                 passage.response.enable_chunked_encoding()
+            if self.draining:
+                passage.response.force_close()
             await passage.response.prepare(passage.request)
         return passage.response
 
--- a/heronstall/dataplane/ingress.py
+++ b/heronstall/dataplane/ingress.py
@@ -77,6 +77,10 @@
             return await self._batch.body(request, host, path.removeprefix(ITEMS))
         return failure(404)
 
+    def drain(self) -> None:
+        """Have every connection end with its next answer."""
+        self.draining = self._forwarder.draining = True
+
     def _closing(self, response: web.StreamResponse) -> web.StreamResponse:
         if self.draining and not response.prepared:
             response.force_close()
--- a/heronstall/dataplane/node.py
+++ b/heronstall/dataplane/node.py
@@ -59,18 +59,25 @@
     async def stop(self) -> None:
         """Leave without a cut answer: first out of the platform's list, then no more connections, then the end."""
         began = time.monotonic()
-        self.ingress.draining = True
+        self.ingress.drain()
         await self.runner.stop()
+        await asyncio.sleep(LEAVE_AFTER)
+        await self._close_front()
         until = began + self.settings.bounds.grace - LAST_MOMENT
-        while time.monotonic() < until:
-            idle = not self.ingress.active and not self.runner.running
-            if idle and time.monotonic() - began > LEAVE_AFTER:
-                break
+        while time.monotonic() < until and (self.ingress.active or self.runner.running):
             await asyncio.sleep(0.05)
         await asyncio.sleep(0.1)
         for task in self._tasks:
             task.cancel()
 
+    async def _close_front(self) -> None:
+        """Take no new connection, and end those that rest; the others end with their answer."""
+        front = self._runners[0]
+        for site in list(front.sites):
+            await site.stop()
+        assert front.server is not None
+        front.server.pre_shutdown()
+
     def _session(self) -> Session:
         address = f"{self.settings.ip}:{self.settings.port}"
         return Session(self.settings.name, "edge", address, self.settings.zone)
