--- a/heronstall/batch/leases.py
+++ b/heronstall/batch/leases.py
@@ -9,6 +9,8 @@
 
 from heronstall.batch.jobs import BatchShard, Job, JobListener
 
+FIRST_RUN = 1.0  # seconds that an item is taken to need until that is learnt
+RUN_LEARNT = 0.05  # weight of a new item in that
 HOLDER_SILENT = 2.5  # seconds without a call after which a dispatcher's items are given to others
 
 ItemKey = tuple[str, str]  # job, item
@@ -19,6 +21,7 @@
     """An item at a dispatcher."""
 
     holder: str
+    since: float
 
 
 class Leases(JobListener):
@@ -27,6 +30,8 @@
     def __init__(self, shard: BatchShard) -> None:
         self._shard = shard
         self._waiting: SortedDict[tuple[float, int], ItemKey] = SortedDict()
+        self._late: SortedDict[tuple[float, int], ItemKey] = SortedDict()  # can't be in time any more
+        self._run = FIRST_RUN  # seconds that an item takes, learnt
         self._place: dict[ItemKey, tuple[float, int]] = {}
         self._leased: dict[ItemKey, Lease] = {}
         self._seen: dict[str, float] = {}
@@ -37,7 +42,7 @@
     @property
     def waiting(self) -> int:
         """Items that wait here."""
-        return len(self._waiting)
+        return len(self._waiting) + len(self._late)
 
     def lead(self, leads: bool) -> None:
         """Begin or cease to own the shard."""
@@ -46,6 +51,7 @@
 
     def reset(self) -> None:
         self._waiting.clear()
+        self._late.clear()
         self._place.clear()
         self._leased.clear()
         self._failures.clear()
@@ -70,18 +76,27 @@
         """A dispatcher has called."""
         self._seen[holder] = now
 
-    def take(self, holder: str, want: int) -> list[tuple[Job, str]]:
-        """Lease items that wait, the earliest deadline first."""
+    def take(self, now: float, holder: str, want: int) -> list[tuple[Job, str]]:
+        """Lease items that wait, the earliest deadline first; those that can't be in time give way to others."""
         given: list[tuple[Job, str]] = []
-        while self._waiting and len(given) < want:
-            _, key = self._waiting.popitem(0)
+        while self._waiting and self._waiting.peekitem(0)[0][0] < now + self._run:
+            place, key = self._waiting.popitem(0)
+            self._late[place] = key
+        while len(given) < want and (self._waiting or self._late):
+            _, key = (self._waiting or self._late).popitem(0)
             del self._place[key]
             job = self._shard.jobs.get(key[0])
             if job is not None and key[1] in job.open_items and not job.ended:
-                self._leased[key] = Lease(holder)
+                self._leased[key] = Lease(holder, now)
                 given.append((job, key[1]))
         return given
 
+    def finished(self, now: float, key: ItemKey) -> None:
+        """A worker has done an item: learn how long that took."""
+        lease = self._leased.get(key)
+        if lease is not None:
+            self._run += RUN_LEARNT * (now - lease.since - self._run)
+
     def give_back(self, holder: str, key: ItemKey) -> None:
         """A dispatcher returns an item that it has not finished."""
         lease = self._leased.get(key)
@@ -123,5 +138,6 @@
         place = self._place.pop(key, None)
         if place is not None:
             self._waiting.pop(place, None)
+            self._late.pop(place, None)
         self._leased.pop(key, None)
         self._failures.pop(key, None)
--- a/heronstall/controlplane/store.py
+++ b/heronstall/controlplane/store.py
@@ -324,7 +324,7 @@
             if owned is None:
                 return self._elsewhere(request.shard)
             owned.leases.seen(self.host.now(), request.holder)
-            given = owned.leases.take(request.holder, min(request.want, ITEM_LIMIT))
+            given = owned.leases.take(self.host.now(), request.holder, min(request.want, ITEM_LIMIT))
             ended = [name for name in request.jobs if self._over(owned, name)]
             left = deadline - self.host.now()
             if given or ended or left <= 0:
@@ -361,6 +361,7 @@
             return None
         key = (report.job, report.item)
         if report.outcome == Outcome.DONE:
+            owned.leases.finished(time.monotonic(), key)
             return ItemResult(report.job, report.item, True, report.text)
         if report.outcome in (Outcome.UNDOABLE, Outcome.ROUTE_GONE):
             return ItemResult(report.job, report.item)
