--- a/heronstall/dataplane/admission.py
+++ b/heronstall/dataplane/admission.py
@@ -5,12 +5,13 @@
 import random
 import time
 
+from heronstall.dataplane.prefixes import SharedPrefix, affinity
 from heronstall.dataplane.workers import WorkerPool, WorkerState
 
 AVOID_FIRST = 0.3  # seconds that a worker is left alone after a failure; doubled by each further one
 AVOID_MOST = 4.0
-WARM = 3.0  # weight of a worker that was sent the same shared parts lately
-WARM_FOR = 60.0  # seconds
+LARGE_PREFIX = 1500  # shared tokens from which reading them again costs more than an uneven load
+HOME = 60.0  # times the weight of the worker that such shared parts belong to
 LIVE_RESERVE = 0.4  # part of the engines' places that batch items leave to live requests
 DEFAULT_CAPACITY = 8
 
@@ -23,7 +24,9 @@
         self._random = rng
         self.edges = 1
 
-    def pick(self, service: str, prefix: str, tried: set[str], for_item: bool = False) -> WorkerState | None:
+    def pick(
+        self, service: str, prefix: SharedPrefix, tried: set[str], for_item: bool = False
+    ) -> WorkerState | None:
         """A worker to send to, by a draw weighted by the inverse of one plus own work there."""
         now = time.monotonic()
         able = [w for w in self._pool.of(service) if w.ready and w.entry.id not in tried]
@@ -34,15 +37,12 @@
             good = [w for w in good if w.items < self.items_each(w)]
         if not good:
             return None
-        weights = [self._weight(w, prefix, now) for w in good]
+        weights = [(1.0 / (1 + w.inflight)) ** 2 for w in good]
+        if prefix.tokens >= LARGE_PREFIX:
+            home = max(range(len(good)), key=lambda k: affinity(prefix.part, good[k].entry.id))
+            weights[home] *= HOME
         return self._random.choices(good, weights)[0]
 
-    def _weight(self, worker: WorkerState, prefix: str, now: float) -> float:
-        weight = (1.0 / (1 + worker.inflight)) ** 2
-        if prefix and now - worker.prefixes.get(prefix, -WARM_FOR) < WARM_FOR:
-            weight *= WARM
-        return weight
-
     def items_each(self, worker: WorkerState) -> int:
         """Batch items of this dispatcher that one worker may have."""
         capacity = worker.entry.capacity or DEFAULT_CAPACITY
@@ -53,14 +53,9 @@
         total = sum(w.entry.capacity or DEFAULT_CAPACITY for w in self._pool.of(service) if w.ready)
         return max(1, int(total * (1 - LIVE_RESERVE) / self.edges))
 
-    def sent(self, worker: WorkerState, prefix: str) -> None:
+    def sent(self, worker: WorkerState) -> None:
         """A request goes to a worker."""
         worker.inflight += 1
-        if prefix:
-            worker.prefixes[prefix] = time.monotonic()
-            if len(worker.prefixes) > 4096:
-                for old in sorted(worker.prefixes, key=worker.prefixes.__getitem__)[:2048]:
-                    del worker.prefixes[old]
 
     def done(self, worker: WorkerState, well: bool) -> None:
         """A request at a worker has ended."""
--- a/heronstall/dataplane/batch_runner.py
+++ b/heronstall/dataplane/batch_runner.py
@@ -15,6 +15,7 @@
 from heronstall.dataplane.admission import Admission
 from heronstall.dataplane.events import EventReader
 from heronstall.dataplane.forwarding import LAST_EVENT, PREFIX, REQUEST_ID, TARGET
+from heronstall.dataplane.prefixes import SharedPrefix, shared_prefix
 from heronstall.dataplane.routing import Route, Routes, RouteType
 from heronstall.dataplane.shard_client import ShardClient
 from heronstall.dataplane.workers import WorkerState
@@ -182,16 +183,16 @@
                 await asyncio.sleep(pause)
                 pause = min(0.4, pause * 1.5)
                 continue
-            outcome = await self._attempt(item, worker, prefix)
+            outcome = await self._attempt(item, worker)
             if outcome is not None:
                 return outcome
             tried.add(worker.entry.id)
         return Outcome.RETURNED
 
-    async def _attempt(self, item: Running, worker: WorkerState, prefix: str) -> int | None:
+    async def _attempt(self, item: Running, worker: WorkerState) -> int | None:
         """One run at one worker; None where another may go on from what has come."""
         admission = self._admission
-        admission.sent(worker, prefix)
+        admission.sent(worker)
         worker.items += 1
         well = False
         answer: aiohttp.ClientResponse | None = None
@@ -244,9 +245,9 @@
         item.texts.append(data)
 
 
-def _prefix(leased: LeasedItem) -> str:
+def _prefix(leased: LeasedItem) -> SharedPrefix:
     value = next((h.value for h in leased.item.headers if h.name.lower() == PREFIX.lower()), "")
-    return ",".join(part.partition(":")[0] for part in value.split(",")[:-1])
+    return shared_prefix(value)
 
 
 def _headers(item: Running, worker: WorkerState) -> CIMultiDict[str]:
--- a/heronstall/dataplane/forwarding.py
+++ b/heronstall/dataplane/forwarding.py
@@ -15,6 +15,7 @@
 
 from heronstall.dataplane.admission import Admission
 from heronstall.dataplane.events import EventReader
+from heronstall.dataplane.prefixes import SharedPrefix, shared_prefix
 from heronstall.dataplane.routing import Route, RouteType
 from heronstall.dataplane.workers import WorkerPool, WorkerState
 
@@ -64,10 +65,9 @@
     tried: set[str] = field(default_factory=set)
 
     @property
-    def prefix(self) -> str:
+    def prefix(self) -> SharedPrefix:
         """The shared parts of its prompt."""
-        parts = self.request.headers.get(PREFIX, "").split(",")
-        return ",".join(part.partition(":")[0] for part in parts[:-1])
+        return shared_prefix(self.request.headers.get(PREFIX, ""))
 
 
 class PassedResponse(web.StreamResponse):
@@ -84,6 +84,9 @@
                 self._headers.pop(name, None)
 
 
+STARTING = 0.9  # seconds until a node that has just started, or a service without workers, may serve
+
+
 def refusal(after: float = RETRY_AFTER) -> web.Response:
     """The request has not run and never will; come back later."""
     return web.Response(status=503, headers={"Retry-After": f"{after:.3f}"})
@@ -137,11 +140,11 @@
             return failure(504 if time.monotonic() >= passage.deadline else 502)
         if passage.runs:
             return failure(502)
-        return refusal()
+        return refusal() if self._pool.of(passage.service) else refusal(STARTING)
 
     async def _attempt(self, passage: Passage, worker: WorkerState) -> web.StreamResponse | Tried:
         admission = self._admission
-        admission.sent(worker, passage.prefix)
+        admission.sent(worker)
         well = False
         try:
             async with asyncio.timeout_at(asyncio.get_running_loop().time() + passage.deadline - time.monotonic()):
--- a/heronstall/dataplane/ingress.py
+++ b/heronstall/dataplane/ingress.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 
 from heronstall.dataplane.batch_front import BatchFront
-from heronstall.dataplane.forwarding import DEADLINE, Broken, Forwarder, Passage, failure, refusal
+from heronstall.dataplane.forwarding import DEADLINE, STARTING, Broken, Forwarder, Passage, failure, refusal
 from heronstall.dataplane.routing import Routes, RouteType
 
 log = structlog.get_logger()
@@ -46,7 +46,7 @@
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived = time.monotonic()
         if not self.routes.revision:
-            return self._closing(refusal())
+            return self._closing(refusal(STARTING))
         try:
             async with asyncio.timeout(BODY_WITHIN):
                 body = await request.read()
--- a/heronstall/dataplane/node.py
+++ b/heronstall/dataplane/node.py
@@ -76,7 +76,11 @@
         for site in list(front.sites):
             await site.stop()
         assert front.server is not None
-        front.server.pre_shutdown()
+        for connection in list(front.server.connections):
+            if _rests(connection):
+                connection.force_close()  # close() alone leaves it open, with nobody to answer
+            else:
+                connection.close()
 
     def _session(self) -> Session:
         address = f"{self.settings.ip}:{self.settings.port}"
@@ -119,3 +123,9 @@
         return web.BaseRequest(message, payload, protocol, writer, task, loop, client_max_size=limit)
 
 
+
+
+def _rests(connection: Any) -> bool:
+    """Whether a connection waits for a request; aiohttp has no public word for it."""
+    waiter = connection._waiter
+    return waiter is not None and not waiter.done()
--- /dev/null
+++ b/heronstall/dataplane/prefixes.py
@@ -0,0 +1,35 @@
+"""The shared parts of a prompt, and which worker is likely to have them in its cache."""
+
+from __future__ import annotations
+
+import zlib
+from typing import NamedTuple
+
+
+class SharedPrefix(NamedTuple):
+    """The largest shared part of a prompt, and the tokens of all shared parts."""
+
+    part: str
+    tokens: int
+
+
+NOTHING = SharedPrefix("", 0)
+
+
+def shared_prefix(header: str) -> SharedPrefix:
+    """Read `ID:TOKENS,...`; the last part is the request's own. What can't be read counts as nothing shared."""
+    largest, most, total = "", 0, 0
+    for part in header.split(",")[:-1]:
+        name, _, size = part.strip().partition(":")
+        if not size.isdigit():
+            return NOTHING
+        tokens = int(size)
+        total += tokens
+        if tokens > most:
+            largest, most = name, tokens
+    return SharedPrefix(largest, total)
+
+
+def affinity(part: str, worker: str) -> int:
+    """How strongly a part belongs to a worker: the same at every dispatcher, and even over the workers."""
+    return zlib.crc32(f"{worker}|{part}".encode())
--- a/heronstall/dataplane/workers.py
+++ b/heronstall/dataplane/workers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import aiohttp
 from multidict import CIMultiDict
@@ -26,9 +26,6 @@
     items: int = 0  # own batch items there
     failures: float = 0.0
     avoid_until: float = 0.0  # steady time
-    slow_until: float = 0.0
-    first_token: float = 0.05  # seconds, learnt
-    prefixes: dict[str, float] = field(default_factory=dict)  # shared parts lately sent here
     _session: aiohttp.ClientSession | None = None
     _connector: aiohttp.TCPConnector | None = None
 
