--- a/heronstall/batch/jobs.py
+++ b/heronstall/batch/jobs.py
@@ -1,4 +1,4 @@
-"""A batch shard's jobs, folded from its log: what was accepted, the results in their positions, what was ended."""
+"""A batch shard's jobs, folded from its log: what was accepted, results in position, what was ended."""
 
 from __future__ import annotations
 
@@ -8,7 +8,15 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
-from heronstall.transport.messages import BatchItem, BatchJob, BatchState, ItemResult, ItemResults, JobNames, JobState
+from heronstall.transport.messages import (
+    BatchItem,
+    BatchJob,
+    BatchState,
+    ItemResult,
+    ItemResults,
+    JobNames,
+    JobState,
+)
 
 
 class Command(IntEnum):
--- a/heronstall/batch/leases.py
+++ b/heronstall/batch/leases.py
@@ -50,6 +50,7 @@
         self.reset()
 
     def reset(self) -> None:
+        """All open items wait again."""
         self._waiting.clear()
         self._late.clear()
         self._place.clear()
@@ -61,14 +62,17 @@
                     self.accepted(job)
 
     def accepted(self, job: Job) -> None:
+        """A job's items wait."""
         if self.leading:
             for item in job.open_items:
                 self._wait(job, item)
 
     def listed(self, job: Job, item: str) -> None:
+        """An item needs no run any more."""
         self._drop((job.record.id, item))
 
     def ended(self, job: Job) -> None:
+        """No item of a job needs a run any more."""
         for item in job.open_items:
             self._drop((job.record.id, item))
 
@@ -77,7 +81,7 @@
         self._seen[holder] = now
 
     def take(self, now: float, holder: str, want: int) -> list[tuple[Job, str]]:
-        """Lease items that wait, the earliest deadline first; those that can't be in time give way to others."""
+        """Lease items that wait, the earliest deadline first; those that can't be in time give way."""
         given: list[tuple[Job, str]] = []
         while self._waiting and self._waiting.peekitem(0)[0][0] < now + self._run:
             place, key = self._waiting.popitem(0)
--- a/heronstall/controlplane/__init__.py
+++ b/heronstall/controlplane/__init__.py
@@ -1,1 +1,1 @@
-"""The control plane of the tier: worker registry, configuration and sessions on core nodes, batch jobs on storage nodes."""
+"""The control plane: registry, configuration and sessions on core nodes, batch jobs on storage nodes."""
--- a/heronstall/controlplane/__main__.py
+++ b/heronstall/controlplane/__main__.py
@@ -59,7 +59,9 @@
 
 
 @click.command()
-@click.option("--settings", "path", default=lambda: os.environ.get("HERONSTALL_BOOT", ""), help="Settings file.")
+@click.option(
+    "--settings", "path", default=lambda: os.environ.get("HERONSTALL_BOOT", ""), help="Settings file."
+)
 def main(path: str) -> None:
     """Run a core or a storage node of the tier."""
     try:
--- a/heronstall/controlplane/api.py
+++ b/heronstall/controlplane/api.py
@@ -23,7 +23,8 @@
     patched,
     read_object,
 )
-from heronstall.distribution.shards import BATCH_SHARDS, CONFIG, WORKER_SHARDS, worker_shard as shard_of
+from heronstall.distribution.shards import BATCH_SHARDS, CONFIG, WORKER_SHARDS
+from heronstall.distribution.shards import worker_shard as shard_of
 from heronstall.transport.messages import ConfigChange, StoreNode, Worker
 
 log = structlog.get_logger()
@@ -154,9 +155,9 @@
         shard = self._core.workers[group]
         self._core.heard[worker] = self._core.host.now()
         known = shard.workers.get(worker)
-        if _changed(known, beat) and not shard.is_gone(worker):
-            if await self._core.commit(group, worker_shard.put(beat)) is None:
-                return unsure("not known to be kept")
+        news = _changed(known, beat) and not shard.is_gone(worker)
+        if news and await self._core.commit(group, worker_shard.put(beat)) is None:
+            return unsure("not known to be kept")
         return answer(200, {"heartbeat_url": self._core.settings.listen["control"]})
 
     async def _leave(self, request: web.BaseRequest, worker: str) -> web.StreamResponse:
@@ -166,9 +167,9 @@
             if not self._core.leads(group):
                 return self._elsewhere(group, request)
             gone = worker_shard.remove(worker_shard.Command.REMOVE, worker)
-            if not self._core.workers[group].is_gone(worker) and held:
-                if await self._core.commit(group, gone) is None:
-                    return unsure("not known to be kept")
+            news = held and not self._core.workers[group].is_gone(worker)
+            if news and await self._core.commit(group, gone) is None:
+                return unsure("not known to be kept")
         return answer(200)
 
     # ------------------------------------------------------------------ storage nodes
@@ -179,7 +180,9 @@
             return self._elsewhere(CONFIG, request)
         known = core.config.store(node)
         if known is None:
-            return answer(404, {"error": "no such storage node"}) if core.settled() else unsure("just started")
+            return (
+                answer(404, {"error": "no such storage node"}) if core.settled() else unsure("just started")
+            )
         if method == "GET":
             succeeded = known.stage == StoreStage.RETIRED
             return answer(200, {"state": "succeeded" if succeeded else "active"})
@@ -202,7 +205,9 @@
 
 def _worker(name: str, beat: Document) -> Worker | None:
     """A worker as its heartbeat tells; None where a field has the wrong type."""
-    texts: dict[str, Any] = {key: beat.get(key, "") for key in ("service", "address", "zone", "state", "revision")}
+    texts: dict[str, Any] = {
+        key: beat.get(key, "") for key in ("service", "address", "zone", "state", "revision")
+    }
     if not all(isinstance(v, str) for v in texts.values()) or not texts["service"]:
         return None
     if ":" not in texts["address"] or texts["state"] not in ("ready", "draining"):
--- a/heronstall/controlplane/state/worker_shard.py
+++ b/heronstall/controlplane/state/worker_shard.py
@@ -4,7 +4,6 @@
 
 from enum import IntEnum
 
-
 from sortedcontainers import SortedDict
 
 from heronstall.transport.messages import Worker, WorkerChange, WorkerDelta, WorkerTable
@@ -20,7 +19,6 @@
     EXPIRE = 3  # removed for its silence: a heartbeat brings it back
 
 
-
 def put(worker: Worker) -> bytes:
     """The command that adds or changes a worker."""
     return bytes([Command.PUT]) + bytes(worker)
@@ -82,7 +80,9 @@
         if version < self._forgotten or not version:
             changes = [c for c in self._changes.values() if not c.removed]
             return WorkerDelta(shard, self.version, True, changes)
-        return WorkerDelta(shard, self.version, False, [self._changes[v] for v in self._changes.irange(version + 1)])
+        return WorkerDelta(
+            shard, self.version, False, [self._changes[v] for v in self._changes.irange(version + 1)]
+        )
 
     def _put(self, index: int, worker: Worker) -> bool:
         known = self.workers.get(worker.id)
--- a/heronstall/controlplane/store.py
+++ b/heronstall/controlplane/store.py
@@ -20,13 +20,13 @@
 from heronstall.transport.links import Links, LinkServer, Reply
 from heronstall.transport.messages import (
     BatchItem,
+    FinishRequest,
     Hint,
     ItemReport,
     ItemResult,
     LeasedItem,
     LeaseReply,
     LeaseRequest,
-    FinishRequest,
     ReadReply,
     ReadRequest,
     Session,
--- a/heronstall/dataplane/__main__.py
+++ b/heronstall/dataplane/__main__.py
@@ -28,7 +28,9 @@
 
 
 @click.command()
-@click.option("--settings", "path", default=lambda: os.environ.get("HERONSTALL_BOOT", ""), help="Settings file.")
+@click.option(
+    "--settings", "path", default=lambda: os.environ.get("HERONSTALL_BOOT", ""), help="Settings file."
+)
 def main(path: str) -> None:
     """Run a dispatcher of the tier."""
     try:
--- a/heronstall/dataplane/batch_runner.py
+++ b/heronstall/dataplane/batch_runner.py
@@ -1,4 +1,4 @@
-"""Runs batch items: leases them from their shards' owners, sends them to workers, reports what came of them."""
+"""Runs batch items: leases them from their shards' owners, sends them to workers, reports the results."""
 
 from __future__ import annotations
 
@@ -56,7 +56,9 @@
 class BatchRunner:
     """All items of this dispatcher."""
 
-    def __init__(self, name: str, shards: ShardClient, admission: Admission, routes: Callable[[], Routes]) -> None:
+    def __init__(
+        self, name: str, shards: ShardClient, admission: Admission, routes: Callable[[], Routes]
+    ) -> None:
         self.holder = f"{name}/{secrets.token_hex(4)}"
         self.stopping = False
         self._shards, self._admission, self._routes = shards, admission, routes
@@ -122,7 +124,9 @@
 
     def _want(self, shard: str) -> int:
         places = 0
-        for service in {t[0] for h in self._routes().by_host.values() for r in h for t in self._targets(r, shard)}:
+        for service in {
+            t[0] for h in self._routes().by_host.values() for r in h for t in self._targets(r, shard)
+        }:
             places += self._admission.item_places(service)
         return max(0, places - len(self._running))
 
@@ -198,7 +202,9 @@
         answer: aiohttp.ClientResponse | None = None
         try:
             async with asyncio.timeout(SILENCE):
-                answer = await worker.request("POST", item.leased.item.path, _headers(item, worker), item.leased.item.body)
+                answer = await worker.request(
+                    "POST", item.leased.item.path, _headers(item, worker), item.leased.item.body
+                )
             outcome = await self._read(item, worker, answer)
             well = True
             return outcome
@@ -258,5 +264,3 @@
     if item.last_event is not None:
         headers[LAST_EVENT] = str(item.last_event)
     return headers
-
-
--- a/heronstall/dataplane/forwarding.py
+++ b/heronstall/dataplane/forwarding.py
@@ -29,7 +29,16 @@
 SIGNATURE = "Heronstall-Response-Signature"
 LAST_EVENT = "Last-Event-Id"
 HOP_HEADERS = frozenset(
-    {"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "content-length"}
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+    }
 )
 OWN_HEADERS = frozenset({DEADLINE.lower(), TARGET.lower()})
 SENDS = 5  # times that a request is offered at the most, refusals included
@@ -147,9 +156,14 @@
         admission.sent(worker)
         well = False
         try:
-            async with asyncio.timeout_at(asyncio.get_running_loop().time() + passage.deadline - time.monotonic()):
+            async with asyncio.timeout_at(
+                asyncio.get_running_loop().time() + passage.deadline - time.monotonic()
+            ):
                 answer = await worker.request(
-                    passage.request.method, passage.request.raw_path, self._headers(passage, worker), passage.body
+                    passage.request.method,
+                    passage.request.raw_path,
+                    self._headers(passage, worker),
+                    passage.body,
                 )
                 try:
                     result = await self._relay(passage, worker, answer)
@@ -195,7 +209,9 @@
         if answer.headers.get(REQUEST_ID) != passage.request.headers.get(REQUEST_ID):
             answer.close()
             raise Broken
-        resumes = passage.route.type is RouteType.STREAMING and passage.route.resumable and answer.status == 200
+        resumes = (
+            passage.route.type is RouteType.STREAMING and passage.route.resumable and answer.status == 200
+        )
         if passage.response is not None and answer.status != 200:
             raise Broken
         if resumes:
--- a/heronstall/dataplane/node.py
+++ b/heronstall/dataplane/node.py
@@ -57,7 +57,7 @@
         await self._listen("readiness", self._ready)
 
     async def stop(self) -> None:
-        """Leave without a cut answer: first out of the platform's list, then no more connections, then the end."""
+        """Leave without a cut answer: out of the platform's list, then no more connections, then the end."""
         began = time.monotonic()
         self.ingress.drain()
         await self.runner.stop()
@@ -123,8 +123,6 @@
         return web.BaseRequest(message, payload, protocol, writer, task, loop, client_max_size=limit)
 
 
-
-
 def _rests(connection: Any) -> bool:
     """Whether a connection waits for a request; aiohttp has no public word for it."""
     waiter = connection._waiter
--- a/heronstall/dataplane/prefixes.py
+++ b/heronstall/dataplane/prefixes.py
@@ -17,7 +17,7 @@
 
 
 def shared_prefix(header: str) -> SharedPrefix:
-    """Read `ID:TOKENS,...`; the last part is the request's own. What can't be read counts as nothing shared."""
+    """Read `ID:TOKENS,...`; the last part is the request's own. What can't be read shares nothing."""
     largest, most, total = "", 0, 0
     for part in header.split(",")[:-1]:
         name, _, size = part.strip().partition(":")
--- a/heronstall/dataplane/workers.py
+++ b/heronstall/dataplane/workers.py
@@ -54,7 +54,9 @@
             self._session._retry_connection = False
         return self._session
 
-    async def request(self, method: str, path: str, headers: CIMultiDict[str], body: bytes) -> aiohttp.ClientResponse:
+    async def request(
+        self, method: str, path: str, headers: CIMultiDict[str], body: bytes
+    ) -> aiohttp.ClientResponse:
         """Send one request, once; returns when the head of the answer is there."""
         url = URL(f"http://{self.entry.address}{path}", encoded=True)
         return await self.session().request(
--- a/heronstall/ownership/placement.py
+++ b/heronstall/ownership/placement.py
@@ -22,7 +22,9 @@
         return self.live and self.active
 
 
-def first_placement(shards: Sequence[str], nodes: Sequence[Candidate], copies: int) -> dict[str, tuple[str, ...]]:
+def first_placement(
+    shards: Sequence[str], nodes: Sequence[Candidate], copies: int
+) -> dict[str, tuple[str, ...]]:
     """Replicas for new shards."""
     load: Counter[str] = Counter()
     placed: dict[str, tuple[str, ...]] = {}
@@ -55,7 +57,9 @@
         load[best.replica] += 1
         given_up = [r for r in replicas if r not in by_replica or not by_replica[r].usable]
         rest = [r for r in replicas if r not in given_up[:1]]
-        changed[shard] = tuple([*rest, best.replica]) if len(replicas) >= copies else (*replicas, best.replica)
+        changed[shard] = (
+            tuple([*rest, best.replica]) if len(replicas) >= copies else (*replicas, best.replica)
+        )
     return changed
 
 
--- a/heronstall/replication/replica.py
+++ b/heronstall/replication/replica.py
@@ -279,7 +279,9 @@
         quiet = self.role is not Role.LEADER and now - self._heard_at >= self._timing.election_least
         granted = quiet and m.term > self.term and self._current_enough(m)
         if granted or m.term <= self.term:
-            self._send(m.sender, MessageKind.PRE_VOTE_REPLY, granted=granted, term=m.term if granted else self.term)
+            self._send(
+                m.sender, MessageKind.PRE_VOTE_REPLY, granted=granted, term=m.term if granted else self.term
+            )
 
     def _on_vote(self, now: float, m: GroupMessage) -> None:
         ordered = m.granted  # the old leader wants it so
@@ -294,7 +296,7 @@
             self._put_off(now)
         self._send(m.sender, MessageKind.VOTE_REPLY, granted=granted)
 
-    # ------------------------------------------------------------------ messages of the current or a later term
+    # ------------------------------------------------------------------ messages of this term or a later
 
     def _on_current(self, now: float, m: GroupMessage) -> None:
         if m.term > self.term:
@@ -313,8 +315,11 @@
         elif m.kind == MessageKind.APPEND_REPLY:
             self._on_append_reply(now, m)
         elif m.kind == MessageKind.TAKE_OVER:
-            if self.role is not Role.LEADER and self.me in self.log.members and m.sender == self.leader:
-                self._campaign(now, True)
+            self._on_take_over(now, m)
+
+    def _on_take_over(self, now: float, m: GroupMessage) -> None:
+        if self.role is not Role.LEADER and self.me in self.log.members and m.sender == self.leader:
+            self._campaign(now, True)
 
     def _follow(self, now: float, m: GroupMessage) -> None:
         if self.role is not Role.FOLLOWER:
--- a/heronstall/tier_logs.py
+++ b/heronstall/tier_logs.py
@@ -15,7 +15,9 @@
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
-            structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"], bool_as_flag=False),
+            structlog.processors.LogfmtRenderer(
+                key_order=["timestamp", "level", "event"], bool_as_flag=False
+            ),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
         logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
--- a/heronstall/transport/links.py
+++ b/heronstall/transport/links.py
@@ -143,9 +143,7 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_WITHIN):
-                _, protocol = await loop.create_connection(
-                    lambda: _Outgoing(self._on_lost), host, int(port)
-                )
+                _, protocol = await loop.create_connection(lambda: _Outgoing(self._on_lost), host, int(port))
             self._protocol = protocol
             held, self._held = self._held, []
             for data in held:
--- a/tests/tier/cluster.py
+++ b/tests/tier/cluster.py
@@ -1,4 +1,4 @@
-"""Steps replicas of one group through drawn or enumerated orders of events, and checks what must always hold."""
+"""Steps replicas of one group through drawn or enumerated orders of events, and checks the promises."""
 
 from __future__ import annotations
 
@@ -63,7 +63,7 @@
 
 
 class Cluster:
-    """Replicas, their disks and the messages between them. `made` builds a replica; tests plant mistakes by it."""
+    """Replicas, their disks and the messages between them; `made` lets tests plant mistakes."""
 
     def __init__(self, size: int, seed: int, made: type[Replica] = Replica, sync_first: bool = True) -> None:
         self.rng = random.Random(seed)
--- a/tests/tier/test_replication.py
+++ b/tests/tier/test_replication.py
@@ -1,4 +1,4 @@
-"""Replica groups: elections, agreement, lost disks, leases; stepped through orders of events under a checker."""
+"""Replica groups: elections, agreement, lost disks, leases; stepped under a checker."""
 
 from __future__ import annotations
 
