--- a/tests/tier/test_batch.py
+++ b/tests/tier/test_batch.py
@@ -60,7 +60,9 @@
         self.finish("a", "a-1", b"first")
         self.finish("a", "a-1", b"second")
         self.finish("a", "a-0")
-        self.assertEqual([(r.item, r.text) for r in self.shard.jobs["a"].results], [("a-1", b"first"), ("a-0", b"t")])
+        self.assertEqual(
+            [(r.item, r.text) for r in self.shard.jobs["a"].results], [("a-1", b"first"), ("a-0", b"t")]
+        )
         self.assertEqual(self.shard.jobs["a"].total, 3)
 
     def test_tokens_are_released_by_results_and_by_the_end_once(self) -> None:
--- /dev/null
+++ b/tests/tier/test_control.py
@@ -0,0 +1,269 @@
+"""The control state: configurations, workers, sessions, placement, what dispatchers pull."""
+
+from __future__ import annotations
+
+import copy
+import unittest
+from typing import Any
+
+import ujson
+from result import Err, Ok
+
+from heronstall.controlplane.state import config_shard, worker_shard
+from heronstall.controlplane.state.config_shard import ConfigShard
+from heronstall.controlplane.state.operator_config import (
+    ConfigFault,
+    canonical,
+    checked,
+    patched,
+    read_object,
+)
+from heronstall.controlplane.state.worker_shard import REMOVED_KEPT, WorkerShard
+from heronstall.distribution.view import View
+from heronstall.ownership.placement import Candidate, first_placement, repaired
+from heronstall.sessions.table import EXPIRE, Sessions
+from heronstall.transport.messages import (
+    ConfigChange,
+    Placement,
+    Session,
+    SyncReply,
+    Worker,
+    WorkerChange,
+    WorkerDelta,
+)
+
+CONFIG: dict[str, Any] = {
+    "revision": 7,
+    "routes": [
+        {"name": "a", "hostname": "h", "path_prefix": "/a/", "timeout_ms": 100, "service": "s"},
+        {
+            "name": "b",
+            "hostname": "h",
+            "path_prefix": "/b/",
+            "timeout_ms": 100.5,
+            "traffic_split": [{"service": "s", "weight": 1}, {"service": "t", "weight": 0}],
+        },
+    ],
+    "services": [{"name": "s"}, {"name": "t"}],
+}
+
+
+class Configurations(unittest.TestCase):
+    def refused(self, document: Any, revision: int = 6) -> ConfigFault:
+        found = checked(document, revision)
+        assert isinstance(found, Err), document
+        return found.err_value[0]
+
+    def changed(self, **route: Any) -> Any:
+        document = copy.deepcopy(CONFIG)
+        document["routes"][0].update(route)
+        return document
+
+    def test_a_valid_one_is_taken(self) -> None:
+        self.assertIsInstance(checked(CONFIG, 6), Ok)
+
+    def test_each_fault_has_its_code(self) -> None:
+        split = [{"service": "s", "weight": 0}, {"service": "t", "weight": 0}]
+        for expected, document in (
+            (ConfigFault.UNKNOWN_SERVICE, self.changed(service="x")),
+            (ConfigFault.UNKNOWN_SERVICE, self.changed(service=None)),
+            (ConfigFault.SAME_PLACE, self.changed(path_prefix="/b/")),
+            (ConfigFault.SAME_PLACE, self.changed(path_prefix="/b/", hostname="H")),
+            (ConfigFault.NO_WEIGHT, self.changed(traffic_split=split)),
+            (ConfigFault.NO_TIMEOUT, self.changed(timeout_ms=0)),
+            (ConfigFault.NO_TIMEOUT, self.changed(timeout_ms=-1)),
+            (ConfigFault.BAD_PREFIX, self.changed(path_prefix="/a")),
+            (ConfigFault.DUPLICATE, self.changed(name="b")),
+            (ConfigFault.WRONG_TYPE, self.changed(timeout_ms="100")),
+            (ConfigFault.WRONG_TYPE, {**CONFIG, "routes": "none"}),
+            (ConfigFault.WRONG_TYPE, {**CONFIG, "revision": True}),
+            (ConfigFault.WRONG_TYPE, {k: v for k, v in CONFIG.items() if k != "services"}),
+        ):
+            with self.subTest(expected=expected.name, document=document):
+                self.assertEqual(self.refused(document), expected)
+        self.assertEqual(self.refused(CONFIG, 7), ConfigFault.OLD_REVISION)
+        self.assertEqual(self.refused(CONFIG, 8), ConfigFault.OLD_REVISION)
+
+    def test_unreadable_bodies(self) -> None:
+        for body, expected in (
+            (ujson.dumps(CONFIG)[:-20].encode(), ConfigFault.UNREADABLE),
+            (b"\xff", ConfigFault.UNREADABLE),
+            (b"[]", ConfigFault.UNREADABLE),
+            (b'{"revision":1,"revision":2}', ConfigFault.DUPLICATE),
+        ):
+            found = read_object(body)
+            assert isinstance(found, Err)
+            self.assertEqual(found.err_value[0], expected)
+
+    def test_a_patch_adds_replaces_and_removes_by_name(self) -> None:
+        patch = {
+            "revision": 9,
+            "upsert": {
+                "routes": [{**CONFIG["routes"][0], "timeout_ms": 5}, {**CONFIG["routes"][0], "name": "c"}]
+            },
+            "remove": {"routes": ["b", "unknown"]},
+        }
+        found = patched(CONFIG, patch)
+        assert isinstance(found, Ok)
+        self.assertEqual([r["name"] for r in found.ok_value["routes"]], ["a", "c"])
+        self.assertEqual(found.ok_value["routes"][0]["timeout_ms"], 5)
+        self.assertEqual(found.ok_value["revision"], 9)
+        self.assertEqual(len(CONFIG["routes"]), 2)
+
+    def test_the_order_of_keys_makes_no_other_content(self) -> None:
+        self.assertEqual(canonical({"a": 1, "b": 2}), canonical({"b": 2, "a": 1}))
+
+    def test_of_two_changes_on_one_version_one_wins(self) -> None:
+        shard = ConfigShard()
+        changes = [ConfigChange(0, 5, b'{"revision":5}', "x"), ConfigChange(0, 6, b'{"revision":6}', "y")]
+        done = [
+            shard.apply(n + 1, config_shard.command(config_shard.Command.CHANGE, c))
+            for n, c in enumerate(changes)
+        ]
+        self.assertEqual(done, [True, False])
+        self.assertEqual((shard.state.revision, shard.state.digests), (5, ["x"]))
+
+    def test_a_dump_restores_the_shard(self) -> None:
+        shard = ConfigShard()
+        shard.apply(3, config_shard.command(config_shard.Command.CHANGE, ConfigChange(0, 5, b"{}", "x")))
+        shard.apply(4, config_shard.command(config_shard.Command.PLACE, Placement("batch-0", ["a"], True)))
+        other = ConfigShard()
+        other.restore(shard.dump())
+        self.assertEqual(other.dump(), shard.dump())
+        self.assertEqual(other.placement("batch-0"), ("a",))
+
+
+class Workers(unittest.TestCase):
+    def setUp(self) -> None:
+        self.shard = WorkerShard()
+
+    def put(self, index: int, name: str, sequence: int = 1, state: str = "ready") -> bool:
+        worker = Worker(id=name, service="s", address="1:1", state=state, sequence=sequence)
+        return self.shard.apply(index, worker_shard.put(worker))
+
+    def remove(self, index: int, name: str, silent: bool = False) -> bool:
+        kind = worker_shard.Command.EXPIRE if silent else worker_shard.Command.REMOVE
+        return self.shard.apply(index, worker_shard.remove(kind, name))
+
+    def test_a_late_heartbeat_takes_nothing_back(self) -> None:
+        self.put(1, "a", 5, "draining")
+        self.assertFalse(self.put(2, "a", 4, "ready"))
+        self.assertEqual(self.shard.workers["a"].state, "draining")
+
+    def test_who_has_left_never_returns_and_who_was_silent_may(self) -> None:
+        self.put(1, "a")
+        self.remove(2, "a")
+        self.assertFalse(self.put(3, "a", 9))
+        self.put(4, "b")
+        self.remove(5, "b", silent=True)
+        self.assertTrue(self.put(6, "b", 2))
+
+    def test_deltas_hold_what_is_newer_and_lead_to_the_same_view(self) -> None:
+        view = View()
+        for index in range(1, 40):
+            name = f"w{index % 7}"
+            if index % 5:
+                self.put(index, name, index)
+            else:
+                self.remove(index, name, silent=True)
+            if index % 3 == 0:
+                delta = self.shard.since("s", view.versions.get("s", 0))
+                assert delta is not None
+                view.take(SyncReply(workers=[WorkerDelta().parse(bytes(delta))]))
+                self.assertEqual(set(view.all_workers()), set(self.shard.workers))
+        self.assertIsNone(self.shard.since("s", self.shard.version))
+
+    def test_who_is_too_far_behind_gets_the_whole(self) -> None:
+        for index in range(1, REMOVED_KEPT + 10):
+            self.put(2 * index, f"w{index}")
+            self.remove(2 * index + 1, f"w{index}", silent=True)
+        self.put(5000, "last")
+        delta = self.shard.since("s", 3)
+        assert delta is not None
+        self.assertTrue(delta.complete)
+        self.assertEqual([c.worker.id for c in delta.changes], ["last"])
+
+    def test_a_dump_restores_the_shard(self) -> None:
+        self.put(1, "a")
+        self.put(2, "b")
+        self.remove(3, "b")
+        other = WorkerShard()
+        other.restore(self.shard.dump())
+        self.assertEqual((set(other.workers), other.version), ({"a"}, 3))
+        self.assertTrue(other.is_gone("b"))
+
+
+class Pulling(unittest.TestCase):
+    def test_no_version_goes_back(self) -> None:
+        view = View()
+        view.take(SyncReply(config_version=5, document=b"new"))
+        self.assertEqual(view.take(SyncReply(config_version=4, document=b"old")), set())
+        self.assertEqual(view.document, b"new")
+        change = WorkerChange(version=3, worker=Worker(id="a"), id="a")
+        view.take(SyncReply(workers=[WorkerDelta("w", 3, True, [change])]))
+        view.take(SyncReply(workers=[WorkerDelta("w", 2, True, [])]))
+        self.assertEqual(set(view.all_workers()), {"a"})
+
+    def test_an_empty_placement_counts_as_known(self) -> None:
+        view = View()
+        self.assertIn("placement", view.take(SyncReply(placement_version=2)))
+        self.assertEqual(view.take(SyncReply(placement_version=2)), set())
+
+
+class SessionTables(unittest.TestCase):
+    def test_sessions_expire_and_older_news_changes_nothing(self) -> None:
+        table = Sessions()
+        table.renew(10.0, Session(name="a", machine_class="edge", replica="new"))
+        table.merge(10.0, [Session(name="a", machine_class="edge", replica="old", age_ms=500)])
+        self.assertEqual(table.live(10.0, "edge")["a"].replica, "new")
+        self.assertEqual(table.live(10.1 + EXPIRE, "edge"), {})
+        table.merge(20.0, [Session(name="a", machine_class="edge", age_ms=100)])
+        self.assertEqual(set(table.live(20.0, "edge")), {"a"})
+
+    def test_only_own_and_late_renewals_are_told(self) -> None:
+        table = Sessions()
+        table.renew(10.0, Session(name="a", machine_class="edge"))
+        table.merge(10.0, [Session(name="b", machine_class="edge")])
+        self.assertEqual([s.name for s in table.told(10.2)], ["a"])
+        self.assertEqual(table.told(15.0), [])
+
+
+def node(name: str, zone: str, live: bool = True, active: bool = True) -> Candidate:
+    return Candidate(name, zone, live, active)
+
+
+class Placements(unittest.TestCase):
+    def test_zones_and_nodes_share_evenly(self) -> None:
+        nodes = [node(f"n{k}", f"z{k % 4}") for k in range(8)]
+        placed = first_placement([f"s{k}" for k in range(8)], nodes, 3)
+        zones = {n.replica: n.zone for n in nodes}
+        for replicas in placed.values():
+            self.assertEqual(len({zones[r] for r in replicas}), 3)
+        loads = [sum(n.replica in r for r in placed.values()) for n in nodes]
+        self.assertEqual(set(loads), {3})
+
+    def test_the_dead_and_the_emptied_give_way_one_at_a_time(self) -> None:
+        nodes = [
+            node("a", "1", live=False),
+            node("b", "2", active=False),
+            node("c", "3"),
+            node("d", "1"),
+            node("e", "2"),
+        ]
+        once = repaired({"s": ("a", "b", "c")}, nodes, 3)["s"]
+        self.assertEqual((len(once), len({"a", "b"} & set(once))), (3, 1))
+        twice = repaired({"s": once}, nodes, 3)["s"]
+        self.assertEqual(set(twice), {"c", "d", "e"})
+        self.assertEqual(repaired({"s": twice}, nodes, 3), {})
+
+    def test_nobody_is_given_up_without_another(self) -> None:
+        nodes = [node("a", "1", live=False), node("b", "2"), node("c", "3")]
+        self.assertEqual(repaired({"s": ("a", "b", "c")}, nodes, 3), {})
+
+    def test_too_few_copies_are_filled_up(self) -> None:
+        nodes = [node("a", "1"), node("b", "2"), node("c", "3")]
+        self.assertEqual(set(repaired({"s": ("a", "b")}, nodes, 3)["s"]), {"a", "b", "c"})
+
+
+if __name__ == "__main__":
+    unittest.main()
