Dispatchers know each other's load at workers; batch items ramp up after a start

And a dispatcher knew only its own load. Change: sessions carry what each dispatcher has at each worker, pulls return the sum of the others; the draw weighs the room left, items go only where room is kept; after a start items grow by 5 a second.

--- a/heronstall/controlplane/core.py
+++ b/heronstall/controlplane/core.py
@@ -149,7 +149,10 @@
             news = self._news_since(versions)
             left = deadline - self.host.now()
             if news or left <= 0:
-                return Reply(Status.OK, bytes(self._sync_reply(versions)))
+                reply = self._sync_reply(versions)
+                if request.session.machine_class == "edge":
+                    reply.loads = self.sessions.loads(self.host.now(), request.session.name)
+                return Reply(Status.OK, bytes(reply))
             try:
                 async with asyncio.timeout(min(left, FRESH / 2)):
                     await self._news.wait()
--- a/heronstall/dataplane/admission.py
+++ b/heronstall/dataplane/admission.py
@@ -13,7 +13,9 @@
 LARGE_PREFIX = 1500  # shared tokens from which reading them again costs more than an uneven load
 HOME = 60.0  # times the weight of the worker that such shared parts belong to
 LIVE_RESERVE = 0.4  # part of the engines' places that batch items leave to live requests
-DEFAULT_CAPACITY = 8
+FULL = 0.02  # least weight of a worker that seems full
+FIRST_PLACES = 2.0  # batch items that a dispatcher runs at its start
+PLACES_PER_SECOND = 5.0  # by which that grows, until the others are known
 
 
 class Admission:
@@ -23,6 +25,7 @@
         self._pool = pool
         self._random = rng
         self.edges = 1
+        self._began = time.monotonic()
 
     def pick(
         self, service: str, prefix: SharedPrefix, tried: set[str], for_item: bool = False
@@ -34,24 +37,32 @@
         if not good and not for_item:
             good = able
         if for_item:
-            good = [w for w in good if w.items < self.items_each(w)]
+            good = [w for w in good if self._takes_items(w)]
         if not good:
             return None
-        weights = [(1.0 / (1 + w.inflight)) ** 2 for w in good]
+        weights = [(1.0 / (1 + w.inflight)) ** 2 * self._room(w) for w in good]
         if prefix.tokens >= LARGE_PREFIX:
             home = max(range(len(good)), key=lambda k: affinity(prefix.part, good[k].entry.id))
             weights[home] *= HOME
         return self._random.choices(good, weights)[0]
 
-    def items_each(self, worker: WorkerState) -> int:
-        """Batch items of this dispatcher that one worker may have."""
-        capacity = worker.entry.capacity or DEFAULT_CAPACITY
-        return max(1, round(capacity * (1 - LIVE_RESERVE) / self.edges * 1.5))
+    @staticmethod
+    def _room(worker: WorkerState) -> float:
+        """Part of a worker's places that no dispatcher uses, as far as known."""
+        return max(FULL, 1.0 - worker.total / worker.capacity)
+
+    def _takes_items(self, worker: WorkerState) -> bool:
+        """Whether a worker has room for a batch item beside the live requests to come."""
+        share = worker.capacity * (1 - LIVE_RESERVE) / self.edges
+        return worker.total < worker.capacity * (1 - LIVE_RESERVE / 2) and worker.items < max(
+            1, round(2 * share)
+        )
 
     def item_places(self, service: str) -> int:
         """Batch items that this dispatcher may run for a service at a time."""
-        total = sum(w.entry.capacity or DEFAULT_CAPACITY for w in self._pool.of(service) if w.ready)
-        return max(1, int(total * (1 - LIVE_RESERVE) / self.edges))
+        total = sum(w.capacity for w in self._pool.of(service) if w.ready)
+        started = FIRST_PLACES + PLACES_PER_SECOND * (time.monotonic() - self._began)
+        return max(1, int(min(started, total * (1 - LIVE_RESERVE) / self.edges)))
 
     def sent(self, worker: WorkerState) -> None:
         """A request goes to a worker."""
--- a/heronstall/dataplane/node.py
+++ b/heronstall/dataplane/node.py
@@ -45,7 +45,7 @@
         forwarder = Forwarder(self.pool, self.admission)
         self.ingress = Ingress(forwarder, BatchFront(shards), rng)
         seeds = [f"{seed.rpartition(':')[0]}:{settings.port}" for seed in settings.seeds]
-        self.puller = Puller(self.links, self.view, self._session, seeds, self._news)
+        self.puller = Puller(self.links, self.view, self._session, seeds, self._news, self._answered)
         self._tasks: list[asyncio.Task[None]] = []
         self._runners: list[web.ServerRunner] = []
 
@@ -84,7 +84,17 @@
 
     def _session(self) -> Session:
         address = f"{self.settings.ip}:{self.settings.port}"
-        return Session(self.settings.name, "edge", address, self.settings.zone)
+        return Session(
+            name=self.settings.name,
+            machine_class="edge",
+            address=address,
+            zone=self.settings.zone,
+            loads=self.pool.loads(),
+        )
+
+    def _answered(self) -> None:
+        self.admission.edges = max(1, self.view.edges)
+        self.pool.take_loads(self.view.loads)
 
     def _news(self, changed: set[str]) -> None:
         if "config" in changed:
@@ -93,7 +103,6 @@
             self.runner.routes_changed()
         if "workers" in changed:
             self.pool.update(self.view.all_workers())
-        self.admission.edges = self.view.edges
 
     async def _ready(self, request: web.BaseRequest) -> web.StreamResponse:
         ready = self.ingress.routes.revision and not self.ingress.draining
--- a/heronstall/dataplane/workers.py
+++ b/heronstall/dataplane/workers.py
@@ -10,10 +10,12 @@
 from yarl import URL
 
 from heronstall.transport.messages import Worker as Entry
+from heronstall.transport.messages import WorkerLoad
 
 CONNECT_WITHIN = 0.5  # seconds; a connection that takes longer has carried nothing
 IDLE_FIRST = 2.0  # seconds that a connection may rest before the worker has told more
 IDLE_SHARE = 0.7  # part of the told time that is used
+DEFAULT_CAPACITY = 8
 SKIPPED_HEADERS = frozenset({"Accept", "Accept-Encoding", "User-Agent", "Content-Type"})
 
 
@@ -24,11 +26,22 @@
     entry: Entry
     inflight: int = 0  # own requests and items there
     items: int = 0  # own batch items there
+    others: int = 0  # what the other dispatchers have there, by their latest word
     failures: float = 0.0
     avoid_until: float = 0.0  # steady time
     _session: aiohttp.ClientSession | None = None
     _connector: aiohttp.TCPConnector | None = None
 
+    @property
+    def total(self) -> int:
+        """Requests and items of all dispatchers there, as far as known."""
+        return self.inflight + self.others
+
+    @property
+    def capacity(self) -> int:
+        """Places of its engine."""
+        return self.entry.capacity or DEFAULT_CAPACITY
+
     @property
     def ready(self) -> bool:
         """Whether new work may go there, by its own word."""
@@ -106,6 +119,17 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def take_loads(self, loads: dict[str, WorkerLoad]) -> None:
+        """Take what the other dispatchers have at the workers."""
+        for name, worker in self.by_id.items():
+            load = loads.get(name)
+            worker.others = load.requests + load.items if load else 0
+
+    def loads(self) -> list[WorkerLoad]:
+        """What this dispatcher has at the workers."""
+        busy = [w for w in self.by_id.values() if w.inflight]
+        return [WorkerLoad(w.entry.id, w.inflight - w.items, w.items) for w in busy]
+
     def of(self, service: str) -> list[WorkerState]:
         """All workers of a service."""
         return self._by_service.get(service, [])
--- a/heronstall/distribution/view.py
+++ b/heronstall/distribution/view.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from heronstall.transport.messages import Placement, ShardVersion, SyncReply, Worker, WorkerChange
+from heronstall.transport.messages import Placement, ShardVersion, SyncReply, Worker, WorkerChange, WorkerLoad
 
 
 class View:
@@ -15,6 +15,7 @@
         self.workers: dict[str, dict[str, Worker]] = {}
         self.control: tuple[str, ...] = ()
         self.edges = 1
+        self.loads: dict[str, WorkerLoad] = {}  # what the other dispatchers have at each worker
 
     def vector(self) -> list[ShardVersion]:
         """What this node holds, for its next pull."""
@@ -38,6 +39,7 @@
                 changed.add("workers")
         self.control = tuple(reply.control) or self.control
         self.edges = max(1, reply.edges)
+        self.loads = {load.worker: load for load in reply.loads}
         return changed
 
     def all_workers(self) -> dict[str, Worker]:
--- a/heronstall/sessions/table.py
+++ b/heronstall/sessions/table.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from heronstall.transport.messages import Session
+from heronstall.transport.messages import Session, WorkerLoad
 
 EXPIRE = 3.0  # seconds of silence that end a session
 TOLD_WITHIN = 1.0  # seconds: sessions renewed here so lately are told to the other control nodes
@@ -46,6 +46,18 @@
             if session.machine_class == machine_class and now - at < EXPIRE
         }
 
+    def loads(self, now: float, without: str) -> list[WorkerLoad]:
+        """What all dispatchers but one have at each worker, by their latest word."""
+        sums: dict[str, WorkerLoad] = {}
+        for name, session in self.live(now, "edge").items():
+            if name == without:
+                continue
+            for load in session.loads:
+                total = sums.setdefault(load.worker, WorkerLoad(load.worker))
+                total.requests += load.requests
+                total.items += load.items
+        return list(sums.values())
+
     def expire(self, now: float) -> None:
         """Forget sessions that ended long ago."""
         for name in [n for n, (at, _) in self._known.items() if now - at > 20 * EXPIRE]:
--- a/heronstall/transport/messages.py
+++ b/heronstall/transport/messages.py
@@ -168,6 +168,16 @@
     replica: str = betterproto.string_field(5)
     shards: List["ShardStatus"] = betterproto.message_field(6)
     age_ms: int = betterproto.uint32_field(7)
+    loads: List["WorkerLoad"] = betterproto.message_field(8)
+
+
+@dataclass
+class WorkerLoad(betterproto.Message):
+    """A dispatcher's own requests and batch items at a worker."""
+
+    worker: str = betterproto.string_field(1)
+    requests: int = betterproto.uint32_field(2)
+    items: int = betterproto.uint32_field(3)
 
 
 @dataclass
@@ -205,6 +215,7 @@
     workers: List["WorkerDelta"] = betterproto.message_field(5)
     control: List[str] = betterproto.string_field(6)
     edges: int = betterproto.uint32_field(7)
+    loads: List["WorkerLoad"] = betterproto.message_field(8)
 
 
 @dataclass
--- a/heronstall/transport/pulling.py
+++ b/heronstall/transport/pulling.py
@@ -31,9 +31,11 @@
         session: Callable[[], Session],
         seeds: list[str],
         news: Callable[[set[str]], None],
+        answered: Callable[[], None] = lambda: None,
     ) -> None:
         self._links, self._view = links, view
         self._session, self._seeds, self._news = session, seeds, news
+        self._answered = answered
         self._at = ""
         self.pulled_at = -1e9  # steady time of the latest answer
 
@@ -60,6 +62,7 @@
             return False
         self.pulled_at = time.monotonic()
         changed = self._view.take(SyncReply().parse(reply.body))
+        self._answered()
         if changed:
             self._news(changed)
         elif not self._view.document:
