One decision core for both programs: switch and deadline lane in heronstall/policy

The tier's deferred lane releases batch items, and live requests of low priority or long aim, by the same two: all when idle, only what is due when busy, by deadline.

--- a/heronstall/controlplane/state/worker_shard.py
+++ b/heronstall/controlplane/state/worker_shard.py
@@ -71,7 +71,7 @@
         if at is None:
             return False
         change = self._changes[at]
-        return change.removed and change.worker.state == "gone"
+        return bool(change.removed and change.worker.state == "gone")
 
     def since(self, shard: str, version: int) -> WorkerDelta | None:
         """What has changed since a version; None where nothing has."""
--- a/heronstall/dataplane/admission.py
+++ b/heronstall/dataplane/admission.py
@@ -58,6 +58,18 @@
             1, round(2 * share)
         )
 
+    def room_for_item(self, service: str) -> bool:
+        """Whether some worker takes a batch item now."""
+        now = time.monotonic()
+        return any(w.ready and w.avoid_until <= now and self._takes_items(w) for w in self._pool.of(service))
+
+    def utilisation(self) -> float:
+        """Mean part of the workers' places in use, by all dispatchers as far as known; -1 without workers."""
+        workers = [w for w in self._pool.by_id.values() if w.ready]
+        if not workers:
+            return -1.0
+        return min(1.0, sum(w.total for w in workers) / sum(w.capacity for w in workers))
+
     def item_places(self, service: str) -> int:
         """Batch items that this dispatcher may run for a service at a time."""
         total = sum(w.capacity for w in self._pool.of(service) if w.ready)
--- a/heronstall/dataplane/batch_runner.py
+++ b/heronstall/dataplane/batch_runner.py
@@ -13,6 +13,7 @@
 from multidict import CIMultiDict
 
 from heronstall.dataplane.admission import Admission
+from heronstall.dataplane.deferred import DeferredLane
 from heronstall.dataplane.events import EventReader
 from heronstall.dataplane.forwarding import LAST_EVENT, PREFIX, REQUEST_ID, TARGET
 from heronstall.dataplane.prefixes import SharedPrefix, shared_prefix
@@ -29,6 +30,8 @@
 POLL_PAUSE = 0.05
 STALE_AFTER = 1.5  # seconds without an answer of the owner after which nothing new is started
 SILENCE = 6.0  # seconds without an event after which a worker is given up
+RUN_TIME = 1.5  # seconds that an item needs, about
+IN_TIME, LATE = 0, 1  # ranks in the deferred lane
 FINISH_WITHIN = 2.0  # seconds for one report
 
 
@@ -57,11 +60,17 @@
     """All items of this dispatcher."""
 
     def __init__(
-        self, name: str, shards: ShardClient, admission: Admission, routes: Callable[[], Routes]
+        self,
+        name: str,
+        shards: ShardClient,
+        admission: Admission,
+        deferred: DeferredLane,
+        routes: Callable[[], Routes],
     ) -> None:
         self.holder = f"{name}/{secrets.token_hex(4)}"
         self.stopping = False
         self._shards, self._admission, self._routes = shards, admission, routes
+        self._deferred = deferred
         self._running: dict[tuple[str, str], Running] = {}
         self._reports: dict[str, list[ItemReport]] = {}
         self._report_news = asyncio.Event()
@@ -160,6 +169,7 @@
     async def _run(self, key: tuple[str, str], item: Running) -> None:
         outcome = Outcome.RETURNED
         try:
+            await self._wait(item)
             outcome = await self._attempts(item)
         except asyncio.CancelledError:
             pass
@@ -171,6 +181,17 @@
             self._report_news.set()
             self._place_free.set()
 
+    async def _wait(self, item: Running) -> None:
+        """Wait in the deferred lane until a worker has room."""
+        now = time.monotonic()
+        deadline = now + item.leased.due_in_ms / 1000
+        rank = LATE if deadline < now + RUN_TIME else IN_TIME
+        await self._deferred.wait(rank, deadline, deadline - RUN_TIME, lambda: self._may_start(item))
+
+    def _may_start(self, item: Running) -> bool:
+        route = self._routes().find(item.leased.host, item.leased.item.path)
+        return route is None or any(self._admission.room_for_item(target) for target, _ in route.targets)
+
     async def _attempts(self, item: Running) -> int:
         tried: set[str] = set()
         pause = 0.05
--- a/heronstall/dataplane/ingress.py
+++ b/heronstall/dataplane/ingress.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from heronstall.dataplane.batch_front import BatchFront
+from heronstall.dataplane.deferred import DeferredLane
 from heronstall.dataplane.forwarding import DEADLINE, STARTING, Broken, Forwarder, Passage, failure, refusal
 from heronstall.dataplane.routing import Routes, RouteType
 
@@ -18,17 +19,21 @@
 LOTS = "/-/lots/"
 ITEMS = "/-/items/"
 BODY_WITHIN = 10.0  # seconds for a request's body
+DUE_SHARE = 0.2  # part of its aim after which a deferrable request is due; held longer it is priced
 PATIENCE = 60.0  # seconds, where a client names no deadline
 
 
 class Ingress:
     """Answers clients."""
 
-    def __init__(self, forwarder: Forwarder, batch: BatchFront, rng: random.Random) -> None:
+    def __init__(
+        self, forwarder: Forwarder, batch: BatchFront, deferred: DeferredLane, rng: random.Random
+    ) -> None:
         self.routes = Routes()
         self.draining = False
         self.active = 0
         self._forwarder, self._batch, self._random = forwarder, batch, rng
+        self._deferred = deferred
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
@@ -64,6 +69,9 @@
         if route.type is RouteType.BATCH:
             return self._closing(await self._batch.submit(request, route, body))
         patience = min(_deadline(request), route.timeout)
+        if self._deferred.switch.busy and self.routes.deferrable(route):
+            aim = arrived + route.target_latency
+            await self._deferred.wait(0, aim, arrived + DUE_SHARE * route.target_latency, lambda: True)
         service = route.service(self._random)
         passage = Passage(request, route, service, body, arrived + patience, arrived)
         return self._closing(await self._forwarder.carry(passage))
--- a/heronstall/dataplane/node.py
+++ b/heronstall/dataplane/node.py
@@ -14,6 +14,7 @@
 from heronstall.dataplane.admission import Admission
 from heronstall.dataplane.batch_front import BatchFront
 from heronstall.dataplane.batch_runner import BatchRunner
+from heronstall.dataplane.deferred import DeferredLane
 from heronstall.dataplane.forwarding import Forwarder
 from heronstall.dataplane.ingress import Ingress
 from heronstall.dataplane.routing import read_routes
@@ -41,9 +42,12 @@
         self.pool = WorkerPool()
         self.admission = Admission(self.pool, rng)
         shards = ShardClient(self.links, self.view)
-        self.runner = BatchRunner(settings.name, shards, self.admission, lambda: self.ingress.routes)
+        self.deferred = DeferredLane(self.admission.utilisation)
+        self.runner = BatchRunner(
+            settings.name, shards, self.admission, self.deferred, lambda: self.ingress.routes
+        )
         forwarder = Forwarder(self.pool, self.admission)
-        self.ingress = Ingress(forwarder, BatchFront(shards), rng)
+        self.ingress = Ingress(forwarder, BatchFront(shards), self.deferred, rng)
         seeds = [f"{seed.rpartition(':')[0]}:{settings.port}" for seed in settings.seeds]
         self.puller = Puller(self.links, self.view, self._session, seeds, self._news, self._answered)
         self._tasks: list[asyncio.Task[None]] = []
@@ -51,7 +55,7 @@
 
     async def start(self) -> None:
         """Begin to pull the control state and to listen."""
-        runs = (self.puller.run(), self.runner.report())
+        runs = (self.puller.run(), self.runner.report(), self.deferred.run())
         self._tasks = [asyncio.create_task(run) for run in runs]
         await self._listen("front", self.ingress.handle, handler_cancellation=True)
         await self._listen("readiness", self._ready)
--- a/heronstall/dataplane/routing.py
+++ b/heronstall/dataplane/routing.py
@@ -11,6 +11,9 @@
 import ujson
 
 
+WELL_ABOVE = 2.0  # times the shortest aim
+
+
 class RouteType(Enum):
     """What may be repeated on a route."""
 
@@ -88,6 +91,13 @@
                 return route
         return None
 
+    def deferrable(self, route: Route) -> bool:
+        """Whether a live route has a low priority, or an aim well above the shortest."""
+        live = [r for routes in self.by_host.values() for r in routes if r.type is not RouteType.BATCH]
+        top = min(r.priority for r in live)
+        shortest = min(r.target_latency for r in live)
+        return route.priority > top or route.target_latency >= WELL_ABOVE * shortest
+
     def batch_hosts(self) -> set[str]:
         """Hosts that have a route for batch jobs."""
         return {h for h, routes in self.by_host.items() if any(r.type is RouteType.BATCH for r in routes)}
--- a/heronstall/decide.py
+++ b/heronstall/decide.py
@@ -13,10 +13,11 @@
 from collections.abc import Sequence
 
 from heronstall import interface as i
+from heronstall.policy.lane import DeadlineLane
+from heronstall.policy.switch import Switch
 
 MS, SECOND = 1_000, 1_000_000
 NEVER = -(10**15)  # before any clock
-BUSY_AT, IDLE_AT, DWELL = 0.9, 0.6, 30 * SECOND  # the paper's switch
 PACE = 200 * MS  # housekeeping: switch, doubts, background probes
 PROBE_LOST = 2 * SECOND  # a probe unanswered for so long is sent again
 START_WAIT = 40 * MS  # an attempt not started by then found no free slot, whatever a report said
@@ -139,7 +140,7 @@
         self._active: list[_Worker] = []  # those that the list names as active
         self._rings: dict[int, list[_Worker]] = {}  # the same by zone, in the order that all nodes share
         self._jobs: dict[int, _Job] = {}
-        self._queue: list[tuple[tuple[int, int], int, _Job]] = []  # by deadline; those that yield behind
+        self._queue: DeadlineLane[_Job] = DeadlineLane()  # by deadline; those that yield behind
         self._timers: list[tuple[int, int, _Job, _Attempt | None]] = []  # attempts to watch, last answers
         self._out: list[i.Action] = []
         self._taking = 1.0  # part of the arrivals that are taken
@@ -150,8 +151,7 @@
         self._mean_free: float | None = None  # reported by the workers on the average
         self._born: int | None = None
         self._pace_at = self._wake_at = self._look_at = self._tie = 0
-        self._busy = False
-        self._beyond_since: int | None = None  # since when utilisation has been past the other threshold
+        self._switch = Switch()
         self._longest = [0] * len(settings.classes)  # time that clients leave a request
         self._mean = [c.aim * 1.0 for c in settings.classes]  # learned running time at speed 1
         self._mean_run = 1.0 * SECOND  # of a job, at the workers' speeds
@@ -174,8 +174,6 @@
         self._movable = [c.effect != "unsafe" and watchable for c in settings.classes]
         self._deferrable = [c.priority < top or c.aim >= 2 * shortest for c in settings.classes]
 
-    # ------------------------------------------------------------------ events
-
     def handle(self, now: int, events: Sequence[i.Event]) -> list[i.Action]:
         """Take the events of one moment and say what to do. Events of unknown requests change nothing."""
         self._out = []
@@ -212,7 +210,7 @@
                 self._watch(now, attempt)
         if now >= self._pace_at:
             self._pace_at = now + PACE
-            self._switch(now)
+            self._switch.update(now, self._utilisation(now))
             self._housekeeping(now)
         self._release(now)
         wake = min(self._pace_at, self._timers[0][0]) if self._timers else self._pace_at
@@ -232,8 +230,7 @@
             return
         c = self._set.classes[e.cls]
         job = self._jobs[e.request] = _Job(e, now + e.time_left)
-        # A client's later try has less time left than its first; the aim runs from the first. A client that
-        # leaves hardly any time is impatient rather than late; where tries are marked, the mark decides.
+        # A client's later try has less time left than its first; the aim runs from the first.
         self._longest[e.cls] = longest = max(self._longest[e.cls], e.time_left)
         later = e.retry if self._set.marks_retry else e.time_left > c.aim
         job.work = float(e.work) if e.work else self._mean[e.cls]
@@ -241,8 +238,7 @@
         run = job.work / self._speed()
         first = now - (longest - e.time_left) * int(later)
         job.aim_at = min(first + c.aim + int(c.stretch * job.work), first + c.deadline)
-        # Due: the last moment to start and still be in time. A size that is only expected is trusted by half,
-        # and half the fixed allowance is left for the way and a short wait at the worker.
+        # Due: the last moment to start and still be in time; an expected size is trusted by half.
         slack = c.stretch * job.work - run
         job.due = first + c.aim // 2 + int(slack * 0.5 if slack > 0 else slack)
         self._retries.add(RETRY_SHARE)
@@ -287,10 +283,7 @@
                     proven.append(attempt.worker)
 
     def _judge(self, attempt: _Attempt, slow: bool) -> None:
-        """Take fewer jobs while those sent wait long for their start, more again while they start at once.
-
-        A fleet short of capacity must not have all jobs wait and be late. Own attempts are the freshest sign.
-        """
+        """Take fewer jobs while those sent wait long for their start, more again while they start at once."""
         if not attempt.judged:
             attempt.judged = True
             less = max(TAKE_LEAST, self._taking * (1.0 - TAKE_LESS))
@@ -344,11 +337,7 @@
         self._arrange()
 
     def _arrange(self) -> None:
-        """Place each zone's workers on a ring, in an order that all nodes share; each node starts elsewhere.
-
-        Where many nodes see little of any worker, each keeps to its own part of every ring: it meets there
-        mostly its own jobs, whose number it knows at each moment, and connections that are open still.
-        """
+        """Place each zone's workers on a ring, in an order that all nodes share, from an own start."""
         here = self._set.me * 0.6180339887 % 1.0  # golden section: all nodes, or one zone's, lie evenly apart
         self._rings = {}
         for w in sorted(self._active, key=lambda w: w.entry.mark * 2654435761 % 2**32):
@@ -368,20 +357,16 @@
         if self._set.me >= 0:
             for w in self._active:
                 w.near = max(least, min(1.0, math.pow(0.5, w.far / wide - 1.0)))
-        # A worker's nodes lie round the ring as a node's workers do: parts by nearness add up to one whole.
         for row in self._rings.values():
             mean = sum(w.near for w in row) / len(row)
             for w in row:
                 w.part = w.near / mean
         sizes = [w.size for w in self._active if w.size > 0]
-        # Without reports: what each node makes of its own running jobs adds up to the truth over all nodes.
         running = sum(a.job.slots for w in self._workers.values() for a in w.running.values())
         self._running += 0.05 * (running - self._running)
         seen = self._running * self._set.nodes / (len(self._active) or 1)
         self._mean_size = sum(sizes) / len(sizes) if sizes else max(1.0, seen)
 
-    # ------------------------------------------------------------------ reports
-
     def _probed(self, now: int, e: i.ProbeResult) -> None:
         worker = self._workers.get(e.worker)
         if worker is not None:
@@ -420,8 +405,7 @@
         for a in worker.waiting.values():
             if now - a.sent > SILENCE and r.free_slots >= a.job.slots:
                 self._doubt(now, a)
-        # Own attempts bound what a late report says is free, but not those that have gone quiet: their
-        # connections are dead, and each would take a slot from a worker that has it free until its deadline.
+        # Own attempts bound what a late report says is free, but not those whose connections are dead.
         own = worker.own - sum(a.job.slots for a in worker.running.values() if self._gone_quiet(now, a))
         free = r.free_slots
         if free <= 0 and r.inflight is not None and worker.size:  # how much more than full
@@ -454,29 +438,26 @@
     def _speed(self) -> float:
         return min(4.0, max(0.25, self._work_done / self._time_run))
 
-    # ------------------------------------------------------------------ lanes and switch
-
     def _enqueue(self, job: _Job) -> None:
         job.queued = True
-        self._tie += 1
-        heapq.heappush(self._queue, (job.key, self._tie, job))
+        self._queue.push(job.key, job)
 
     def _release(self, now: int) -> None:
         queue = self._queue
         while queue:
-            key, _, job = queue[0]
+            key, job = queue.first()
             held = job.queued and key == job.key
             closed = bool(job.attempts) and not self._may_send(now, job)  # a repeat window closes meanwhile
             worker = None
             if held and not closed:
                 due = job.due <= now
-                if self._busy and not due:
+                if self._switch.busy and not due:
                     break
                 worker = self._pick(now, job) if job is not self._stuck else None
                 if worker is None and not (due and (job.late or now >= self._latest(job))):
                     self._stuck, self._look_at = job, now + LOOK_AGAIN
                     break
-            heapq.heappop(queue)
+            queue.pop()
             if not held:
                 continue
             job.queued = False
@@ -504,26 +485,12 @@
         """The last start that can still meet the aim, if the expected size is right."""
         return job.aim_at - int(job.work / self._speed())
 
-    def _switch(self, now: int) -> None:
+    def _utilisation(self, now: int) -> float:
         heard = [w.util for w in self._active if w.util >= 0 and now - w.reported_at < 5 * SECOND]
-        mean = sum(heard) / len(heard) if heard else -1.0
-        beyond = (0 <= mean <= IDLE_AT) if self._busy else mean >= BUSY_AT
-        if not beyond:
-            self._beyond_since = None
-        elif self._beyond_since is None:
-            self._beyond_since = now
-        elif now - self._beyond_since >= DWELL:
-            self._busy = not self._busy
-            self._beyond_since = None
-
-    # ------------------------------------------------------------------ pick
+        return sum(heard) / len(heard) if heard else -1.0
 
     def _pick(self, now: int, job: _Job) -> _Worker | None:
-        """Weighted draw among the workers with room.
-
-        A worker weighs what its last report leaves free there, less own jobs since, and what all others send
-        it before an own job has come in: else one report of an idle worker draws every node's jobs at once.
-        """
+        """Weighted draw among the workers with room: what a report leaves free, less what came since."""
         others = (1.0 - 1.0 / self._set.nodes) * BLIND * SECOND / self._mean_run
         anchor = job.anchor() if self._set.classes[job.cls].group != "all" else None
         pool = self._active
@@ -560,8 +527,6 @@
             weights.append(weight)
         return self._random.choices(found, weights)[0] if found else None
 
-    # ------------------------------------------------------------------ gate
-
     def _send(self, now: int, job: _Job, worker: _Worker) -> None:
         """Every send passes here."""
         attempt = _Attempt(job, len(job.attempts), worker, now)
@@ -571,8 +536,7 @@
         if now < worker.started_at + self._set.cold:
             worker.cold_sent.append((now, job.cold_cost))
         repeatable, watched = self._set.classes[job.cls].effect != "unsafe", self._movable[job.cls]
-        # Where a job cannot be moved on a sign, a time-out frees what may be repeated. Before half of the
-        # time left it would start long jobs over, and where nothing is cancelled they would run on as well.
+        # Where a job cannot be moved on a sign, a time-out frees what may be repeated.
         worker.timeout = self._set.classes[job.cls].aim + int(3 * job.work / self._speed())
         timeout = 0 if watched or not repeatable else (job.give_up - now) // 2
         self._out.append(i.Send(job.id, worker.entry.worker, timeout))
@@ -593,11 +557,7 @@
         return self._cold_fits(now, w, job)
 
     def _cold_fits(self, now: int, w: _Worker, job: _Job) -> bool:
-        """The cold-start budget: this node's even part of what all may send within any window.
-
-        Where a part is smaller than a job, a job passes by lot, drawn once a window, so that all nodes
-        together still keep to the budget.
-        """
+        """The cold-start budget: this node's even part, drawn by lot where that is less than a job."""
         s = self._set
         if now >= w.started_at + s.cold:
             return True
@@ -608,7 +568,6 @@
         if now >= w.lot_until:  # at a moment of the node's own, so that not all draw together
             w.lot_until = now + int(s.fall * (self._random.random() if w.lot_until == NEVER else 1.0))
             w.lot = self._random.random() if s.nodes > 1 else 1.0
-        # A new worker has told no size yet. Taken for one slot, it got the smallest jobs alone for seconds.
         capacity = (w.size or self._mean_size) * self._speed() * self._warmth(now, w)
         budget = COLD_SAFETY * (1.5 - 0.5 / s.nodes) * s.fall_multiple * capacity * s.fall
         cost = job.cold_cost
@@ -677,16 +636,13 @@
         self._tie += 1
         heapq.heappush(self._timers, (when, self._tie, job, attempt))
 
-    # ------------------------------------------------------------------ worker health
-
     def _trusted(self, now: int, job: _Job, w: _Worker) -> bool:
         """Whether nothing that was seen of this worker speaks against sending it this job."""
         if w.ejected_until > now:
             return False
         if w.trial and (w.own > 0 or (self._set.classes[job.cls].effect == "unsafe" and not w.unreachable)):
             return False
-        # Silence: an own attempt not started proves that no slot is free there, or that the worker
-        # hangs; no report outweighs it. Harm: a slow start note hides a free worker for a moment.
+        # An own attempt not started proves that no slot is free there, whatever a report says.
         wait = START_WAIT if self._set.tells_start else w.timeout
         return not any(
             now - a.sent > wait and (a.job.cls == job.cls or w.last_sign < a.sent) for a in w.waiting.values()
@@ -715,9 +671,7 @@
         unstarted = self._set.tells_start and attempt.started is None and w.last_sign < attempt.sent
         silent = e.status == "timeout" and unstarted
         if e.status == "no_connection" and not w.running:
-            # Likely a restart that the list has yet to tell of: cold from now on. Not so while own attempts
-            # run there, for a restart breaks them all. Live workers and links turn down connections too, and
-            # a whole fleet taken for cold refuses most jobs.
+            # Likely a restart that the list has yet to tell of; not so while own attempts run there.
             w.started_at = now
         if e.status == "ok":
             self._tried(now, w, REACHED)
@@ -730,17 +684,14 @@
                 self._learn(attempt.job, float(max(1, now - attempt.started)), w)
         elif e.status == "no_connection":
             self._tried(now, w, UNREACHED)
-            # Dead though listed, cut off or full of connections, and proved harmless: no cap and no retry
-            # budget, and any job may try it again. A short blip costs a worker two seconds at most.
+            # Dead though listed, cut off or full of connections, and proved harmless: no cap, no budget.
             w.failures = min(w.failures + 1.0, 4.0)
             w.ejected_until = max(w.ejected_until, now + int(125 * MS * 2.0**w.failures))
             w.trial = w.unreachable = True
         elif e.status == "reset" and w.breaks < BREAKS and not attempt.cancelled:
-            # One of its connections broke, not all. Harm: a worker that breaks them all costs one job more.
             w.breaks += 1.0
         elif (e.status in ("error", "reset") or silent) and not attempt.cancelled:
-            # Failing fast, or starting nothing: out for 1, 2 .. 16 s, then one repeatable job as a trial. The
-            # cap keeps a trouble that strikes all from ejecting all.
+            # Failing fast, or starting nothing: out for 1, 2 .. 16 s, then one repeatable job as a trial.
             w.unreachable = False
             w.failures += 1.0
             down = sum(1 for x in self._active if x.trial and not x.unreachable)
--- /dev/null
+++ b/heronstall/policy/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions that both programs share: lanes, switch, draw."""
