--- a/heronstall/dataplane/routing.py
+++ b/heronstall/dataplane/routing.py
@@ -10,7 +10,6 @@
 
 import ujson
 
-
 WELL_ABOVE = 2.0  # times the shortest aim
 
 
