--- a/heronstall/dataplane/workers.py
+++ b/heronstall/dataplane/workers.py
@@ -16,6 +16,7 @@
 IDLE_FIRST = 2.0  # seconds that a connection may rest before the worker has told more
 IDLE_SHARE = 0.7  # part of the told time that is used
 DEFAULT_CAPACITY = 8
+OTHERS_LEARNT = 0.25  # weight of a new word: all dispatchers see the same, and must not all follow it at once
 SKIPPED_HEADERS = frozenset({"Accept", "Accept-Encoding", "User-Agent", "Content-Type"})
 
 
@@ -26,14 +27,14 @@
     entry: Entry
     inflight: int = 0  # own requests and items there
     items: int = 0  # own batch items there
-    others: int = 0  # what the other dispatchers have there, by their latest word
+    others: float = 0.0  # what the other dispatchers have there, averaged over their latest words
     failures: float = 0.0
     avoid_until: float = 0.0  # steady time
     _session: aiohttp.ClientSession | None = None
     _connector: aiohttp.TCPConnector | None = None
 
     @property
-    def total(self) -> int:
+    def total(self) -> float:
         """Requests and items of all dispatchers there, as far as known."""
         return self.inflight + self.others
 
@@ -123,7 +124,8 @@
         """Take what the other dispatchers have at the workers."""
         for name, worker in self.by_id.items():
             load = loads.get(name)
-            worker.others = load.requests + load.items if load else 0
+            now = load.requests + load.items if load else 0
+            worker.others += OTHERS_LEARNT * (now - worker.others)
 
     def loads(self) -> list[WorkerLoad]:
         """What this dispatcher has at the workers."""
