Bound batch items by what live requests leave; replace a wiped storage node at once

Cause here: items took 60% of the places whatever the live load (admission.py item_places); with 5 workers left, second 44 had 28 to 32 of 32 places taken and first events after 0.2 to 0.9 s. Change: items get 82% of the places less the live requests of all dispatchers. And core.py _place: a wiped node under its old name is replaced without waiting to be settled; it took 5.4 s after its start, more than catch_up_s.

--- a/heronstall/controlplane/core.py
+++ b/heronstall/controlplane/core.py
@@ -260,7 +260,10 @@
                 await self.host.propose(CONFIG, command(Command.STORE, node), COMMIT_WITHIN)
 
     def _candidates(self) -> list[Candidate]:
+        """Storage nodes; before this node knows who lives, those that hold replicas count as living."""
         live = self.live_stores()
+        if not self.settled():
+            live |= {r for placement in self.config.state.placements for r in placement.replicas}
         return [
             Candidate(s.replica, s.zone, s.replica in live, s.stage == StoreStage.ACTIVE)
             for s in self.config.state.stores
@@ -278,7 +281,7 @@
             patience = GATHER if usable >= self.copies else 6 * GATHER
             if now - self._placing_since > patience:
                 changes = first_placement(missing, nodes, self.copies)
-        elif self.settled():
+        else:
             changes = repaired(placed, nodes, self.copies)
         for shard, replicas in changes.items():
             log.info("place", shard=shard, replicas=list(replicas))
--- a/heronstall/dataplane/admission.py
+++ b/heronstall/dataplane/admission.py
@@ -12,7 +12,9 @@
 AVOID_MOST = 4.0
 LARGE_PREFIX = 1500  # shared tokens from which reading them again costs more than an uneven load
 HOME = 60.0  # times the weight of the worker that such shared parts belong to
-LIVE_RESERVE = 0.4  # part of the engines' places that batch items leave to live requests
+LIVE_RESERVE = 0.4  # part of an engine's places that a dispatcher's batch items leave to live requests
+FILL = 0.82  # part of the engines' places that live requests and batch items together may take
+ITEMS_LEAST = 0.1  # part of the places that batch items get, however many live requests there are
 FULL = 0.02  # least weight of a worker that seems full
 FIRST_PLACES = 2.0  # batch items that a dispatcher runs at its start
 PLACES_PER_SECOND = 5.0  # by which that grows, until the others are known
@@ -72,9 +74,11 @@
 
     def item_places(self, service: str) -> int:
         """Batch items that this dispatcher may run for a service at a time."""
-        total = sum(w.capacity for w in self._pool.of(service) if w.ready)
+        workers = [w for w in self._pool.of(service) if w.ready]
+        capacity = sum(w.capacity for w in workers)
+        left = max(ITEMS_LEAST * capacity, FILL * capacity - sum(w.live for w in workers))
         started = FIRST_PLACES + PLACES_PER_SECOND * (time.monotonic() - self._began)
-        return max(1, int(min(started, total * (1 - LIVE_RESERVE) / self.edges)))
+        return max(1, int(min(started, left / self.edges)))
 
     def sent(self, worker: WorkerState) -> None:
         """A request goes to a worker."""
--- a/heronstall/dataplane/workers.py
+++ b/heronstall/dataplane/workers.py
@@ -27,7 +27,8 @@
     entry: Entry
     inflight: int = 0  # own requests and items there
     items: int = 0  # own batch items there
-    others: float = 0.0  # what the other dispatchers have there, averaged over their latest words
+    others_live: float = 0.0  # requests of the other dispatchers there, averaged over their latest words
+    others_items: float = 0.0  # batch items, likewise
     failures: float = 0.0
     avoid_until: float = 0.0  # steady time
     _session: aiohttp.ClientSession | None = None
@@ -36,7 +37,12 @@
     @property
     def total(self) -> float:
         """Requests and items of all dispatchers there, as far as known."""
-        return self.inflight + self.others
+        return self.inflight + self.others_live + self.others_items
+
+    @property
+    def live(self) -> float:
+        """Requests of all dispatchers there, without batch items."""
+        return self.inflight - self.items + self.others_live
 
     @property
     def capacity(self) -> int:
@@ -124,8 +130,9 @@
         """Take what the other dispatchers have at the workers."""
         for name, worker in self.by_id.items():
             load = loads.get(name)
-            now = load.requests + load.items if load else 0
-            worker.others += OTHERS_LEARNT * (now - worker.others)
+            live, items = (load.requests, load.items) if load else (0, 0)
+            worker.others_live += OTHERS_LEARNT * (live - worker.others_live)
+            worker.others_items += OTHERS_LEARNT * (items - worker.others_items)
 
     def loads(self) -> list[WorkerLoad]:
         """What this dispatcher has at the workers."""
