Suspect workers from which nothing comes; take up elsewhere what may be repeated

Cause: a dark worker kept its share of the draw until its connections failed, and items waited 6 s for an event (batch_runner.py SILENCE). Change: a worker that has sent nothing since an attempt 0.5 s old is left out; requests that may run again go elsewhere after 1.2 s of silence, items after 3 s, both after 0.5 s where the worker is suspected; a resumed stream goes on from its last event.

--- a/heronstall/dataplane/admission.py
+++ b/heronstall/dataplane/admission.py
@@ -36,7 +36,7 @@
         """A worker to send to, by a draw weighted by the inverse of one plus own work there."""
         now = time.monotonic()
         able = [w for w in self._pool.of(service) if w.ready and w.entry.id not in tried]
-        good = [w for w in able if w.avoid_until <= now]
+        good = [w for w in able if w.avoid_until <= now and not w.attempts.suspected(now)]
         if not good and not for_item:
             good = able
         if for_item:
--- /dev/null
+++ b/heronstall/dataplane/attempts.py
@@ -0,0 +1,63 @@
+"""Attempts at a worker that are under way, and when one counts as silent."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+
+WORKER_SILENT = 0.5  # seconds: a worker from which nothing has come since an attempt that old is suspected
+REQUEST_SILENT = 1.2  # seconds without an event after which a request that may be repeated goes elsewhere
+ITEM_SILENT = 3.0  # the same for a batch item, which may wait in a worker's queue
+
+
+@dataclass(eq=False)
+class Attempt:
+    """One request at one worker. `limit` ends it; only attempts that may be repeated are ended early."""
+
+    limit: asyncio.Timeout
+    patience: float | None  # seconds of silence after which it may be tried elsewhere; None: never
+    sent_at: float
+    heard_at: float
+
+
+@dataclass
+class Attempts:
+    """The attempts at one worker."""
+
+    under_way: set[Attempt] = field(default_factory=set)
+    heard_at: float = 0.0  # latest byte of the worker on any connection
+
+    def begin(self, limit: asyncio.Timeout, patience: float | None) -> Attempt:
+        """An attempt is sent."""
+        now = time.monotonic()
+        attempt = Attempt(limit, patience, now, now)
+        self.under_way.add(attempt)
+        return attempt
+
+    def heard(self, attempt: Attempt) -> None:
+        """Something has come of an attempt."""
+        attempt.heard_at = self.heard_at = time.monotonic()
+
+    def end(self, attempt: Attempt) -> None:
+        """An attempt is over."""
+        self.under_way.discard(attempt)
+
+    def suspected(self, now: float) -> bool:
+        """Whether the worker seems dark: an attempt waits, and nothing has come since it was sent."""
+        return any(
+            now - a.sent_at > WORKER_SILENT and a.heard_at == a.sent_at and self.heard_at <= a.sent_at
+            for a in self.under_way
+        )
+
+    def end_silent(self, now: float) -> int:
+        """End the attempts that may be repeated and get nothing; how many."""
+        most = WORKER_SILENT if self.suspected(now) else ITEM_SILENT
+        silent = [
+            a for a in self.under_way if a.patience is not None and now - a.heard_at > min(most, a.patience)
+        ]
+        loop_now = asyncio.get_running_loop().time()
+        for attempt in silent:
+            self.end(attempt)
+            attempt.limit.reschedule(loop_now)
+        return len(silent)
--- a/heronstall/dataplane/batch_runner.py
+++ b/heronstall/dataplane/batch_runner.py
@@ -13,6 +13,7 @@
 from multidict import CIMultiDict
 
 from heronstall.dataplane.admission import Admission
+from heronstall.dataplane.attempts import ITEM_SILENT, Attempt
 from heronstall.dataplane.deferred import DeferredLane
 from heronstall.dataplane.events import EventReader
 from heronstall.dataplane.forwarding import LAST_EVENT, PREFIX, REQUEST_ID, TARGET
@@ -29,7 +30,6 @@
 POLL_HOLD = 0.45  # seconds that the owner may hold a call for items
 POLL_PAUSE = 0.05
 STALE_AFTER = 1.5  # seconds without an answer of the owner after which nothing new is started
-SILENCE = 6.0  # seconds without an event after which a worker is given up
 RUN_TIME = 1.5  # seconds that an item needs, about
 IN_TIME, LATE = 0, 1  # ranks in the deferred lane
 FINISH_WITHIN = 2.0  # seconds for one report
@@ -221,12 +221,14 @@
         worker.items += 1
         well = False
         answer: aiohttp.ClientResponse | None = None
+        attempt: Attempt | None = None
         try:
-            async with asyncio.timeout(SILENCE):
+            async with asyncio.timeout(None) as limit:
+                attempt = worker.attempts.begin(limit, ITEM_SILENT)
                 answer = await worker.request(
                     "POST", item.leased.item.path, _headers(item, worker), item.leased.item.body
                 )
-            outcome = await self._read(item, worker, answer)
+                outcome = await self._read(item, worker, attempt, answer)
             well = True
             return outcome
         except (aiohttp.ClientError, ConnectionError, TimeoutError):
@@ -235,10 +237,14 @@
         finally:
             if answer is not None and not well:
                 answer.close()
+            if attempt is not None:
+                worker.attempts.end(attempt)
             worker.items -= 1
             admission.done(worker, well)
 
-    async def _read(self, item: Running, worker: WorkerState, answer: aiohttp.ClientResponse) -> int | None:
+    async def _read(
+        self, item: Running, worker: WorkerState, attempt: Attempt, answer: aiohttp.ClientResponse
+    ) -> int | None:
         worker.learn_idle(answer.headers.get("Keep-Alive"))
         if answer.status != 200:
             await answer.read()
@@ -253,10 +259,10 @@
             raise aiohttp.ClientPayloadError("answer to another request")
         reader = EventReader()
         while True:
-            async with asyncio.timeout(SILENCE):
-                piece = await answer.content.readany()
+            piece = await answer.content.readany()
             if not piece:
                 break
+            worker.attempts.heard(attempt)
             for event in reader.feed(piece):
                 self._take(item, event.id, event.data)
         if reader.partial:
--- a/heronstall/dataplane/forwarding.py
+++ b/heronstall/dataplane/forwarding.py
@@ -14,6 +14,7 @@
 from multidict import CIMultiDict
 
 from heronstall.dataplane.admission import Admission
+from heronstall.dataplane.attempts import REQUEST_SILENT, Attempt
 from heronstall.dataplane.events import EventReader
 from heronstall.dataplane.prefixes import SharedPrefix, shared_prefix
 from heronstall.dataplane.routing import Route, RouteType
@@ -72,6 +73,12 @@
     last_event: int | None = None
     runs: int = 0
     tried: set[str] = field(default_factory=set)
+    attempt: Attempt | None = None
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether another run would be allowed after the next."""
+        return self.route.repeatable and self.runs + 1 < self.route.max_attempts
 
     @property
     def prefix(self) -> SharedPrefix:
@@ -154,11 +161,11 @@
     async def _attempt(self, passage: Passage, worker: WorkerState) -> web.StreamResponse | Tried:
         admission = self._admission
         admission.sent(worker)
+        passage.attempt = None
         well = False
         try:
-            async with asyncio.timeout_at(
-                asyncio.get_running_loop().time() + passage.deadline - time.monotonic()
-            ):
+            async with asyncio.timeout(passage.deadline - time.monotonic()) as limit:
+                passage.attempt = worker.attempts.begin(limit, REQUEST_SILENT if passage.may_repeat else None)
                 answer = await worker.request(
                     passage.request.method,
                     passage.request.raw_path,
@@ -181,6 +188,8 @@
         except TimeoutError:
             return Tried.MAYBE_RAN
         finally:
+            if passage.attempt is not None:
+                worker.attempts.end(passage.attempt)
             admission.done(worker, well)
 
     def _headers(self, passage: Passage, worker: WorkerState) -> CIMultiDict[str]:
@@ -197,6 +206,8 @@
     ) -> web.StreamResponse | Tried:
         """Pass an answer on. Raises Broken where it ends early."""
         worker.learn_idle(answer.headers.get("Keep-Alive"))
+        assert passage.attempt is not None
+        worker.attempts.heard(passage.attempt)
         if NOT_EXECUTED in answer.headers or answer.status == 421:
             await answer.read()
             if answer.status == 503:
@@ -215,9 +226,9 @@
         if passage.response is not None and answer.status != 200:
             raise Broken
         if resumes:
-            return await self._relay_events(passage, answer)
+            return await self._relay_events(passage, worker, answer)
         if passage.route.type is RouteType.STREAMING and answer.status == 200:
-            return await self._relay_pieces(passage, answer)
+            return await self._relay_pieces(passage, worker, answer)
         body = await answer.read()
         response = PassedResponse(answer.status, answer.reason, answer_headers(answer))
         response.content_length = len(body)
@@ -240,17 +251,25 @@
             await passage.response.prepare(passage.request)
         return passage.response
 
-    async def _relay_pieces(self, passage: Passage, answer: aiohttp.ClientResponse) -> web.StreamResponse:
+    async def _relay_pieces(
+        self, passage: Passage, worker: WorkerState, answer: aiohttp.ClientResponse
+    ) -> web.StreamResponse:
+        assert passage.attempt is not None
         async for piece in answer.content.iter_any():
+            worker.attempts.heard(passage.attempt)
             response = await self._open(passage, answer)
             await response.write(piece)
         response = await self._open(passage, answer)
         await response.write_eof()
         return response
 
-    async def _relay_events(self, passage: Passage, answer: aiohttp.ClientResponse) -> web.StreamResponse:
+    async def _relay_events(
+        self, passage: Passage, worker: WorkerState, answer: aiohttp.ClientResponse
+    ) -> web.StreamResponse:
         reader = EventReader()
+        assert passage.attempt is not None
         async for piece in answer.content.iter_any():
+            worker.attempts.heard(passage.attempt)
             whole = b""
             for event in reader.feed(piece):
                 if event.id is not None:
--- a/heronstall/dataplane/node.py
+++ b/heronstall/dataplane/node.py
@@ -55,7 +55,7 @@
 
     async def start(self) -> None:
         """Begin to pull the control state and to listen."""
-        runs = (self.puller.run(), self.runner.report(), self.deferred.run())
+        runs = (self.puller.run(), self.runner.report(), self.deferred.run(), self.pool.watch())
         self._tasks = [asyncio.create_task(run) for run in runs]
         await self._listen("front", self.ingress.handle, handler_cancellation=True)
         await self._listen("readiness", self._ready)
--- a/heronstall/dataplane/workers.py
+++ b/heronstall/dataplane/workers.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+import time
+from dataclasses import dataclass, field
 
 import aiohttp
 from multidict import CIMultiDict
 from yarl import URL
 
+from heronstall.dataplane.attempts import Attempts
 from heronstall.transport.messages import Worker as Entry
 from heronstall.transport.messages import WorkerLoad
 
@@ -16,6 +18,7 @@
 IDLE_FIRST = 2.0  # seconds that a connection may rest before the worker has told more
 IDLE_SHARE = 0.7  # part of the told time that is used
 DEFAULT_CAPACITY = 8
+WATCH = 0.15  # seconds between looks for silent attempts
 OTHERS_LEARNT = 0.25  # weight of a new word: all dispatchers see the same, and must not all follow it at once
 SKIPPED_HEADERS = frozenset({"Accept", "Accept-Encoding", "User-Agent", "Content-Type"})
 
@@ -31,6 +34,7 @@
     others_items: float = 0.0  # batch items, likewise
     failures: float = 0.0
     avoid_until: float = 0.0  # steady time
+    attempts: Attempts = field(default_factory=Attempts)
     _session: aiohttp.ClientSession | None = None
     _connector: aiohttp.TCPConnector | None = None
 
@@ -126,6 +130,15 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    async def watch(self) -> None:
+        """End silent attempts until cancelled."""
+        while True:
+            await asyncio.sleep(WATCH)
+            now = time.monotonic()
+            for worker in self.by_id.values():
+                if worker.attempts.under_way:
+                    worker.attempts.end_silent(now)
+
     def take_loads(self, loads: dict[str, WorkerLoad]) -> None:
         """Take what the other dispatchers have at the workers."""
         for name, worker in self.by_id.items():
--- /dev/null
+++ b/tests/tier/test_dataplane.py
@@ -0,0 +1,296 @@
+"""The data plane's parts free of sockets: routes, events, prefixes, lanes, silent attempts, draws."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+import unittest
+from unittest import mock
+
+import ujson
+
+from heronstall.dataplane import attempts as silence
+from heronstall.dataplane.admission import ITEM_FULL, Admission
+from heronstall.dataplane.attempts import Attempts
+from heronstall.dataplane.batch_front import Malformed, read_items
+from heronstall.dataplane.deferred import DeferredLane
+from heronstall.dataplane.events import EventReader
+from heronstall.dataplane.prefixes import NOTHING, affinity, shared_prefix
+from heronstall.dataplane.routing import Routes, RouteType, read_routes
+from heronstall.dataplane.workers import WorkerPool
+from heronstall.transport.frames import Frame, FrameError, FrameReader, Kind, Status, encode
+from heronstall.transport.messages import Worker, WorkerLoad
+
+
+def routes() -> Routes:
+    entries: list[dict[str, object]] = [
+        {"name": "a", "hostname": "H.example", "path_prefix": "/a/", "route_type": "streaming"},
+        {"name": "ab", "hostname": "h.example", "path_prefix": "/a/b/", "route_type": "idempotent"},
+        {
+            "name": "lots",
+            "hostname": "h.example",
+            "path_prefix": "/lots/",
+            "route_type": "batch",
+            "priority": 2,
+        },
+        {"name": "slow", "hostname": "h.example", "path_prefix": "/slow/", "target_latency_ms": 900},
+    ]
+    common: dict[str, object] = {"timeout_ms": 1000, "service": "s", "target_latency_ms": 200}
+    document = {"revision": 3, "routes": [{**common, **e} for e in entries], "services": [{"name": "s"}]}
+    return read_routes(ujson.dumps(document).encode())
+
+
+class Routing(unittest.TestCase):
+    def test_the_longest_prefix_of_the_host_wins(self) -> None:
+        found = routes()
+        for host, path, name in (
+            ("h.example", "/a/x", "a"),
+            ("h.example:80", "/a/b/x", "ab"),
+            ("H.EXAMPLE", "/lots/1", "lots"),
+            ("h.example", "/b/", None),
+            ("other", "/a/x", None),
+        ):
+            with self.subTest(host=host, path=path):
+                route = found.find(host, path)
+                self.assertEqual(route.name if route else None, name)
+
+    def test_what_may_run_again(self) -> None:
+        by_name = {r.name: r for r in routes().by_host["h.example"]}
+        self.assertFalse(by_name["a"].repeatable)
+        self.assertTrue(by_name["ab"].repeatable)
+        self.assertIs(by_name["slow"].type, RouteType.NON_IDEMPOTENT)
+        self.assertFalse(by_name["slow"].repeatable)
+
+    def test_an_aim_well_above_the_shortest_is_deferrable(self) -> None:
+        found = routes()
+        by_name = {r.name: r for r in found.by_host["h.example"]}
+        self.assertFalse(found.deferrable(by_name["a"]))
+        self.assertTrue(found.deferrable(by_name["slow"]))
+        self.assertEqual(found.batch_hosts(), {"h.example"})
+
+
+class Events(unittest.TestCase):
+    def test_events_come_whole_however_the_bytes_are_cut(self) -> None:
+        stream = b"id: 1\ndata: a\ndata: b\n\nversions: 3\nid: 2\ndata: c\n\n"
+        stream += b": note\r\nid: 3\r\ndata:d\r\n\r\nid: 4\ndata"
+        for size in range(1, len(stream) + 1):
+            reader = EventReader()
+            found = [e for k in range(0, len(stream), size) for e in reader.feed(stream[k : k + size])]
+            self.assertEqual([(e.id, e.data) for e in found], [(1, b"a\nb"), (2, b"c"), (3, b"d")])
+            self.assertEqual(b"".join(e.raw for e in found) + reader.partial, stream)
+
+
+class Prefixes(unittest.TestCase):
+    def test_the_last_part_is_not_shared(self) -> None:
+        self.assertEqual(shared_prefix("ab:800,cd:410,ef:250"), ("ab", 1210))
+        self.assertEqual(shared_prefix("ab:800"), NOTHING)
+
+    def test_what_cannot_be_read_shares_nothing(self) -> None:
+        for header in ("", ",", "a,b,c", "a:x,b:1", "a:-1,b:2", "a:1:2,b:3"):
+            self.assertEqual(shared_prefix(header), NOTHING, header)
+
+    def test_parts_spread_evenly_over_workers(self) -> None:
+        homes = [max(range(6), key=lambda w: affinity(f"part{p}", f"worker{w}")) for p in range(600)]
+        counts = [homes.count(w) for w in range(6)]
+        self.assertGreater(min(counts), 60)
+        self.assertLess(max(counts), 160)
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now = 50.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+class Lane(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.clock = Clock()
+        self.utilisation = 0.2
+        self.lane = DeferredLane(lambda: self.utilisation, self.clock)
+        self.order: list[str] = []
+        self.room = 100
+
+    async def add(self, name: str, rank: int, deadline: float, due: float) -> asyncio.Task[None]:
+        async def work() -> None:
+            await self.lane.wait(rank, deadline, due, lambda: self.room > 0)
+            self.order.append(name)
+
+        task = asyncio.create_task(work())
+        await asyncio.sleep(0)
+        return task
+
+    async def look(self) -> list[str]:
+        self.lane.look()
+        for _ in range(3):
+            await asyncio.sleep(0)
+        return self.order
+
+    def turn_busy(self) -> None:
+        self.utilisation = 0.95
+        for _ in range(130):
+            self.clock.now += 0.25
+            self.lane.look()
+        self.assertTrue(self.lane.switch.busy)
+
+    async def test_idle_releases_all_by_deadline_and_late_ranks_last(self) -> None:
+        await self.add("late", 1, 10.0, 0.0)
+        await self.add("second", 0, 70.0, 69.0)
+        await self.add("first", 0, 60.0, 59.0)
+        self.assertEqual(await self.look(), ["first", "second", "late"])
+
+    async def test_busy_releases_only_what_is_due(self) -> None:
+        self.turn_busy()
+        await self.add("later", 0, self.clock.now + 20, self.clock.now + 10)
+        await self.add("due", 0, self.clock.now + 1, self.clock.now)
+        self.assertEqual(await self.look(), ["due"])
+        self.clock.now += 10.1
+        self.assertEqual(await self.look(), ["due", "later"])
+
+    async def test_without_room_nothing_is_released(self) -> None:
+        self.room = 0
+        await self.add("a", 0, 60.0, 59.0)
+        self.assertEqual(await self.look(), [])
+        self.room = 1
+        self.assertEqual(await self.look(), ["a"])
+
+    async def test_work_that_was_given_up_holds_nobody(self) -> None:
+        first = await self.add("a", 0, 60.0, 59.0)
+        await self.add("b", 0, 61.0, 60.0)
+        first.cancel()
+        await asyncio.sleep(0)
+        self.assertEqual(await self.look(), ["b"])
+        self.assertEqual(len(self.lane), 0)
+
+
+class Silence(unittest.IsolatedAsyncioTestCase):
+    async def test_a_dark_worker_is_suspected_and_a_slow_answer_is_not(self) -> None:
+        worker = Attempts()
+        async with asyncio.timeout(None) as limit:
+            waiting, streaming = worker.begin(limit, None), worker.begin(limit, None)
+            sent = waiting.sent_at
+            self.assertFalse(worker.suspected(sent + 0.1))
+            self.assertTrue(worker.suspected(sent + silence.WORKER_SILENT + 0.1))
+            worker.heard(streaming)
+            self.assertFalse(worker.suspected(sent + silence.WORKER_SILENT + 0.1))
+
+    async def test_only_what_may_be_repeated_is_ended(self) -> None:
+        worker = Attempts()
+        async with asyncio.timeout(None) as kept:
+            with self.assertRaises(TimeoutError):
+                async with asyncio.timeout(None) as limit:
+                    once = worker.begin(kept, None)
+                    again = worker.begin(limit, silence.REQUEST_SILENT)
+                    self.assertEqual(worker.end_silent(again.sent_at + 0.1), 0)
+                    self.assertEqual(worker.end_silent(again.sent_at + silence.REQUEST_SILENT + 0.1), 1)
+                    await asyncio.Event().wait()
+            self.assertEqual(worker.under_way, {once})
+
+
+class Draws(unittest.TestCase):
+    def setUp(self) -> None:
+        self.pool = WorkerPool.__new__(WorkerPool)
+        self.pool.by_id, self.pool._by_service = {}, {}
+        self.pool.changed = mock.Mock()
+        with mock.patch("asyncio.Event", mock.Mock):
+            self.pool.update(
+                {f"w{k}": Worker(id=f"w{k}", service="s", state="ready", capacity=10) for k in range(4)}
+            )
+        self.admission = Admission(self.pool, random.Random(3))
+
+    def drawn(self, count: int = 400, **options: bool) -> dict[str, int]:
+        found: dict[str, int] = {}
+        for _ in range(count):
+            worker = self.admission.pick("s", NOTHING, set(), **options)
+            if worker is not None:
+                found[worker.entry.id] = found.get(worker.entry.id, 0) + 1
+        return found
+
+    def test_own_load_and_the_others_load_weigh(self) -> None:
+        self.pool.by_id["w0"].inflight = 5
+        for _ in range(20):
+            self.pool.take_loads({"w1": WorkerLoad("w1", 9, 0)})
+        found = self.drawn()
+        self.assertLess(found.get("w0", 0), 30)
+        self.assertLess(found.get("w1", 0), 60)
+
+    def test_draining_and_tried_workers_get_nothing(self) -> None:
+        self.pool.by_id["w0"].entry.state = "draining"
+        found = {w.entry.id for _ in range(200) if (w := self.admission.pick("s", NOTHING, {"w1"}))}
+        self.assertEqual(found, {"w2", "w3"})
+
+    def test_a_large_prompt_goes_home(self) -> None:
+        prefix = shared_prefix("aa:13000,bb:400")
+        homes = [self.admission.pick("s", prefix, set()) for _ in range(100)]
+        names = [w.entry.id for w in homes if w]
+        self.assertGreater(max(names.count(n) for n in set(names)), 80)
+
+    def test_items_stay_off_full_workers_and_start_slowly(self) -> None:
+        for worker in self.pool.by_id.values():
+            worker.others_live = ITEM_FULL * 10
+        self.assertEqual(self.drawn(for_item=True), {})
+        self.assertFalse(self.admission.room_for_item("s"))
+        self.assertLessEqual(self.admission.item_places("s"), 3)
+
+    def test_live_requests_leave_items_fewer_places(self) -> None:
+        self.admission._began = time.monotonic() - 100
+        self.assertEqual(self.admission.item_places("s"), 40)
+        for worker in self.pool.by_id.values():
+            worker.others_live = 6
+        self.assertEqual(self.admission.item_places("s"), 16)
+
+
+class Submissions(unittest.TestCase):
+    def test_items_are_read(self) -> None:
+        entry = {"id": "i", "path": "/p", "headers": {"A": "b"}, "body": "q83vEg==", "tokens": 9}
+        items = read_items(ujson.dumps({"requests": [entry]}).encode())
+        self.assertEqual(
+            (items[0].body, items[0].tokens, items[0].headers[0].value), (b"\xab\xcd\xef\x12", 9, "b")
+        )
+
+    def test_each_fault_names_its_field(self) -> None:
+        entry = {"id": "i", "path": "/p", "headers": {}, "body": "", "tokens": 9}
+        for wrong, named in (
+            ("{", "body"),
+            ("[]", "requests"),
+            ({"requests": []}, "requests"),
+            ({"requests": [entry] * 2}, "twice"),
+            ({"requests": [{**entry, "id": 3}]}, "requests[0].id"),
+            ({"requests": [{**entry, "body": "q83vEg="}]}, "requests[0].body"),
+            ({"requests": [{**entry, "headers": {"a": 1}}]}, "requests[0].headers"),
+            ({"requests": [{**entry, "tokens": -1}]}, "requests[0].tokens"),
+            ({"requests": [3]}, "requests[0]"),
+        ):
+            with self.subTest(named=named), self.assertRaises(Malformed) as caught:
+                read_items((wrong if isinstance(wrong, str) else ujson.dumps(wrong)).encode())
+            self.assertIn(named, str(caught.exception))
+
+
+class Frames(unittest.TestCase):
+    def test_frames_come_whole_however_the_bytes_are_cut(self) -> None:
+        sent = [
+            Frame(Kind.SYNC, Status.CALL, 1, b"abc"),
+            Frame(Kind.GROUP, Status.OK, 0, b""),
+            Frame(Kind.END, Status.UNSURE, 9, b"x" * 70),
+        ]
+        stream = b"".join(map(encode, sent))
+        for size in (1, 2, 7, 11, 50, len(stream)):
+            reader = FrameReader()
+            found = [f for k in range(0, len(stream), size) for f in reader.feed(stream[k : k + size])]
+            self.assertEqual(found, sent)
+
+    def test_rubbish_is_refused(self) -> None:
+        rng = random.Random(1)
+        refused = 0
+        for _ in range(500):
+            try:
+                FrameReader().feed(rng.randbytes(40))
+            except FrameError:
+                refused += 1
+        self.assertGreater(refused, 450)
+
+
+if __name__ == "__main__":
+    unittest.main()
