Heed the configuration's limits on heads and idle connections; read other seeds from the settings

Cause: a connection on which no whole head came stayed open for an hour (aiohttp's default), heads had no limit of the configuration's, and a node whose known control nodes had all gone kept to the seeds of its start. Change: ingress answers 431 over max_header_bytes, connections without an answer for idle_timeout_ms are closed, pulls read the settings file again after four failures, core nodes while they hear of no leader.

--- a/heronstall/config.py
+++ b/heronstall/config.py
@@ -348,6 +348,19 @@
     disk_mb: int
     max_fds: int
     bounds: NodeBounds
+    path: str = ""  # of the file that this was read from
+
+    @property
+    def seed_addresses(self) -> list[str]:
+        """Addresses for messages of the nodes that the seeds name."""
+        return [f"{seed.rpartition(':')[0]}:{self.port}" for seed in self.seeds]
+
+    def read_again(self) -> NodeSettings:
+        """The settings as the file has them now; these where it can't be used."""
+        try:
+            return node_settings(self.path)
+        except ConfigError:
+            return self
 
 
 def node_settings(path: str) -> NodeSettings:
@@ -390,6 +403,7 @@
         disk_mb=limits.whole("disk_mb", 0),
         max_fds=limits.whole("max_fds", 1024),
         bounds=_node_bounds(_Table(table.get("bounds", {}), "bounds")),
+        path=path,
     )
 
 
--- a/heronstall/controlplane/core.py
+++ b/heronstall/controlplane/core.py
@@ -34,6 +34,7 @@
 CHORES = 0.3  # seconds between rounds of chores
 FRESH = 1.0  # seconds without the leader after which nothing is told to readers
 SETTLE = EXPIRE + 0.5  # seconds of leading before a silent node counts as dead
+READ_SEEDS_EVERY = 2.0  # seconds
 GATHER = 1.0  # seconds that a first placement waits for more storage nodes
 LOG_LIMIT = 8 * 1024 * 1024  # bytes of log before a slot is written
 COMMIT_WITHIN = 2.5  # seconds
@@ -63,11 +64,12 @@
         self._news = asyncio.Event()
         self._led_since: dict[str, float] = {}
         self._placing_since: float | None = None
+        self._seeds_after = self.host.now() + READ_SEEDS_EVERY
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Join the groups and begin to serve other nodes."""
-        seeds = [f"{seed.rpartition(':')[0]}:{self.settings.port}" for seed in self.settings.seeds]
+        seeds = self.settings.seed_addresses
         known = set(self.host.recovered_groups)
         self.host.add(CONFIG, self.config)
         for name, shard in self.workers.items():
@@ -220,7 +222,9 @@
 
     def _members(self) -> None:
         now = self.host.now()
-        seeds = [f"{seed.rpartition(':')[0]}:{self.settings.port}#" for seed in self.settings.seeds]
+        if not self._fresh():
+            self._read_seeds(now)
+        seeds = [f"{seed}#" for seed in self.settings.seed_addresses]
         for hosted in self.host.groups.values():
             replica = hosted.replica
             wanted = membership.wanted_voters(replica, self.copies, now, self.timing)
@@ -230,6 +234,12 @@
             replica.ask_to_join(now, [*others, *(s for s in seeds if address_of(s) != self.address)])
         self.host.flush_soon()
 
+    def _read_seeds(self, now: float) -> None:
+        """A node that hears of no leader may have seeds that are gone: the file may name others."""
+        if now >= self._seeds_after:
+            self._seeds_after = now + READ_SEEDS_EVERY
+            self.settings = self.settings.read_again()
+
     def _gossip(self) -> None:
         now = self.host.now()
         table = bytes(SessionTable(self.sessions.told(now)))
--- a/heronstall/controlplane/store.py
+++ b/heronstall/controlplane/store.py
@@ -91,7 +91,10 @@
         self.host.on_applied = self._applied
         self.host.on_role = self._role
         self.shards: dict[str, OwnedShard] = {}
-        seeds = [f"{seed.rpartition(':')[0]}:{settings.port}" for seed in settings.seeds]
+
+        def seeds() -> list[str]:
+            return settings.read_again().seed_addresses
+
         self._puller = Puller(self.links, self.view, self._session, seeds, self._news)
         self._server = LinkServer(self._serve, self._one_way)
         self._tasks: list[asyncio.Task[None]] = []
--- a/heronstall/dataplane/ingress.py
+++ b/heronstall/dataplane/ingress.py
@@ -59,6 +59,11 @@
             return self._closing(failure(408))
         except web.HTTPRequestEntityTooLarge:
             return self._closing(failure(413))
+        if (
+            sum(len(name) + len(value) + 4 for name, value in request.raw_headers)
+            > self.routes.limits.header_bytes
+        ):
+            return self._closing(failure(431))
         host = request.headers.get("Host", "")
         path = request.raw_path.partition("?")[0]
         if path.startswith("/-/"):
--- a/heronstall/dataplane/node.py
+++ b/heronstall/dataplane/node.py
@@ -28,6 +28,7 @@
 log = structlog.get_logger()
 
 LEAVE_AFTER = 2.3  # seconds of not being ready until clients have gone elsewhere
+SWEEP = 1.0  # seconds between looks for connections that rest too long
 LAST_MOMENT = 0.6  # seconds of the grace time that are kept for the end
 
 
@@ -48,14 +49,24 @@
         )
         forwarder = Forwarder(self.pool, self.admission)
         self.ingress = Ingress(forwarder, BatchFront(shards), self.deferred, rng)
-        seeds = [f"{seed.rpartition(':')[0]}:{settings.port}" for seed in settings.seeds]
+
+        def seeds() -> list[str]:
+            return settings.read_again().seed_addresses
+
         self.puller = Puller(self.links, self.view, self._session, seeds, self._news, self._answered)
         self._tasks: list[asyncio.Task[None]] = []
         self._runners: list[web.ServerRunner] = []
+        self._resting: dict[Any, float] = {}  # front connections that wait for a request, since when
 
     async def start(self) -> None:
         """Begin to pull the control state and to listen."""
-        runs = (self.puller.run(), self.runner.report(), self.deferred.run(), self.pool.watch())
+        runs = (
+            self.puller.run(),
+            self.runner.report(),
+            self.deferred.run(),
+            self.pool.watch(),
+            self._sweep(),
+        )
         self._tasks = [asyncio.create_task(run) for run in runs]
         await self._listen("front", self.ingress.handle, handler_cancellation=True)
         await self._listen("readiness", self._ready)
@@ -74,6 +85,20 @@
         for task in self._tasks:
             task.cancel()
 
+    async def _sweep(self) -> None:
+        """Close connections on which no whole head has come for the configured time."""
+        while True:
+            await asyncio.sleep(SWEEP)
+            now, most = time.monotonic(), self.ingress.routes.limits.idle_timeout + SWEEP
+            front = self._runners[0].server if self._runners else None
+            resting = {
+                c: self._resting.get(c, now) for c in (front.connections if front else ()) if _rests(c)
+            }
+            for connection in [c for c, since in resting.items() if now - since > most]:
+                del resting[connection]
+                connection.force_close()
+            self._resting = resting
+
     async def _close_front(self) -> None:
         """Take no new connection, and end those that rest; the others end with their answer."""
         front = self._runners[0]
--- a/heronstall/transport/pulling.py
+++ b/heronstall/transport/pulling.py
@@ -18,6 +18,7 @@
 
 HOLD = 0.6  # seconds that a control node may hold a call without news
 ANSWER_WITHIN = 0.6  # seconds beyond that until another control node is asked
+READ_SEEDS_EVERY = 4  # failed calls in a row after which the settings are read for other seeds
 PAUSE = 0.1  # seconds before the next control node is asked
 
 
@@ -29,12 +30,14 @@
         links: Links,
         view: View,
         session: Callable[[], Session],
-        seeds: list[str],
+        seeds: Callable[[], list[str]],
         news: Callable[[set[str]], None],
         answered: Callable[[], None] = lambda: None,
     ) -> None:
         self._links, self._view = links, view
-        self._session, self._seeds, self._news = session, seeds, news
+        self._session, self._read_seeds, self._news = session, seeds, news
+        self._seeds = seeds()
+        self._failures = 0
         self._answered = answered
         self._at = ""
         self.pulled_at = -1e9  # steady time of the latest answer
@@ -44,7 +47,12 @@
         while True:
             if not self._at:
                 self._at = self._choose("")
-            if not await self._pull(self._at):
+            if await self._pull(self._at):
+                self._failures = 0
+            else:
+                self._failures += 1
+                if self._failures % READ_SEEDS_EVERY == 0:
+                    self._seeds = self._read_seeds()
                 self._links.to(self._at).drop()
                 self._at = self._choose(self._at)
                 await asyncio.sleep(PAUSE)
