--- a/heronstall/dataplane/ingress.py
+++ b/heronstall/dataplane/ingress.py
@@ -32,6 +32,7 @@
         self.routes = Routes()
         self.draining = False
         self.active = 0
+        self.answered_at: dict[object, float] = {}  # by connection, steady time
         self._forwarder, self._batch, self._random = forwarder, batch, rng
         self._deferred = deferred
 
@@ -46,6 +47,7 @@
             raise asyncio.CancelledError from None
         finally:
             self.active -= 1
+            self.answered_at[request.protocol] = time.monotonic()
         return response
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -59,10 +61,7 @@
             return self._closing(failure(408))
         except web.HTTPRequestEntityTooLarge:
             return self._closing(failure(413))
-        if (
-            sum(len(name) + len(value) + 4 for name, value in request.raw_headers)
-            > self.routes.limits.header_bytes
-        ):
+        if _head_bytes(request) > self.routes.limits.header_bytes:
             return self._closing(failure(431))
         host = request.headers.get("Host", "")
         path = request.raw_path.partition("?")[0]
@@ -100,6 +99,10 @@
         return response
 
 
+def _head_bytes(request: web.BaseRequest) -> int:
+    return sum(len(name) + len(value) + 4 for name, value in request.raw_headers)
+
+
 def _deadline(request: web.BaseRequest) -> float:
     text = request.headers.get(DEADLINE, "")
     return int(text) / 1000 if text.isdigit() and int(text) > 0 else PATIENCE
--- a/heronstall/dataplane/node.py
+++ b/heronstall/dataplane/node.py
@@ -56,7 +56,7 @@
         self.puller = Puller(self.links, self.view, self._session, seeds, self._news, self._answered)
         self._tasks: list[asyncio.Task[None]] = []
         self._runners: list[web.ServerRunner] = []
-        self._resting: dict[Any, float] = {}  # front connections that wait for a request, since when
+        self._seen: dict[Any, float] = {}  # front connections: their latest answer, or when first seen
 
     async def start(self) -> None:
         """Begin to pull the control state and to listen."""
@@ -89,15 +89,16 @@
         """Close connections on which no whole head has come for the configured time."""
         while True:
             await asyncio.sleep(SWEEP)
-            now, most = time.monotonic(), self.ingress.routes.limits.idle_timeout + SWEEP
             front = self._runners[0].server if self._runners else None
-            resting = {
-                c: self._resting.get(c, now) for c in (front.connections if front else ()) if _rests(c)
-            }
-            for connection in [c for c, since in resting.items() if now - since > most]:
-                del resting[connection]
-                connection.force_close()
-            self._resting = resting
+            if front is None:
+                continue
+            now, answered = time.monotonic(), self.ingress.answered_at
+            self._seen = {c: answered.pop(c, self._seen.get(c, now)) for c in front.connections}
+            answered.clear()
+            most = self.ingress.routes.limits.idle_timeout + SWEEP
+            for connection, since in self._seen.items():
+                if now - since > most and _rests(connection):
+                    connection.force_close()
 
     async def _close_front(self) -> None:
         """Take no new connection, and end those that rest; the others end with their answer."""
