--- a/heronstall/controlplane/store.py
+++ b/heronstall/controlplane/store.py
@@ -11,6 +11,7 @@
 from heronstall.batch import jobs as batch
 from heronstall.batch.jobs import BatchShard, Job
 from heronstall.batch.leases import Leases
+from heronstall.batch.outcomes import Outcome
 from heronstall.config import NodeSettings
 from heronstall.controlplane.hosting import GroupHost, Superseded
 from heronstall.distribution.view import View
@@ -47,16 +48,6 @@
 ITEM_LIMIT = 64  # items given out in one call
 
 
-class Outcome:
-    """What a dispatcher reports of an item."""
-
-    DONE = 1
-    UNDOABLE = 2
-    FAILED = 3
-    RETURNED = 4
-    ROUTE_GONE = 5
-
-
 class OwnedShard:
     """A batch shard on this node, and what its owner keeps in memory."""
 
--- a/heronstall/dataplane/batch_runner.py
+++ b/heronstall/dataplane/batch_runner.py
@@ -12,6 +12,7 @@
 import structlog
 from multidict import CIMultiDict
 
+from heronstall.batch.outcomes import Outcome
 from heronstall.dataplane.admission import Admission
 from heronstall.dataplane.attempts import ITEM_SILENT, Attempt
 from heronstall.dataplane.deferred import DeferredLane
@@ -35,16 +36,6 @@
 FINISH_WITHIN = 2.0  # seconds for one report
 
 
-class Outcome:
-    """What is reported of an item; the same numbers as at the storage nodes."""
-
-    DONE = 1
-    UNDOABLE = 2
-    FAILED = 3
-    RETURNED = 4
-    ROUTE_GONE = 5
-
-
 @dataclass
 class Running:
     """An item at this dispatcher."""
@@ -192,7 +183,7 @@
         route = self._routes().find(item.leased.host, item.leased.item.path)
         return route is None or any(self._admission.room_for_item(target) for target, _ in route.targets)
 
-    async def _attempts(self, item: Running) -> int:
+    async def _attempts(self, item: Running) -> Outcome:
         tried: set[str] = set()
         pause = 0.05
         while not self.stopping or item.texts:
@@ -214,7 +205,7 @@
             tried.add(worker.entry.id)
         return Outcome.RETURNED
 
-    async def _attempt(self, item: Running, worker: WorkerState) -> int | None:
+    async def _attempt(self, item: Running, worker: WorkerState) -> Outcome | None:
         """One run at one worker; None where another may go on from what has come."""
         admission = self._admission
         admission.sent(worker)
@@ -244,7 +235,7 @@
 
     async def _read(
         self, item: Running, worker: WorkerState, attempt: Attempt, answer: aiohttp.ClientResponse
-    ) -> int | None:
+    ) -> Outcome | None:
         worker.learn_idle(answer.headers.get("Keep-Alive"))
         if answer.status != 200:
             await answer.read()
