Weigh workers by their share of errors

Cause: a worker that fails part of its requests while its health is good kept its full share of the draw (admission.py pick). Change: a share of 5xx answers beyond 4% lowers its weight, never to nothing. Test: 30 errors leave under 25 of 400 draws, 60 good answers bring it back.

--- a/heronstall/dataplane/admission.py
+++ b/heronstall/dataplane/admission.py
@@ -17,6 +17,10 @@
 ITEM_FULL = 0.9  # part of a worker's places from which it gets no more batch items
 ITEMS_LEAST = 0.1  # part of the places that batch items get, however many live requests there are
 FULL = 0.02  # least weight of a worker that seems full
+ERROR_LEARNT = 0.08  # weight of a new answer in a worker's share of errors
+ERRORS_USUAL = 0.04  # share of errors that counts for nothing
+ERROR_WEIGHT = 4.0  # by which a share beyond that lowers the weight
+DISTRUST = 0.06  # least weight
 FIRST_PLACES = 2.0  # batch items that a dispatcher runs at its start
 PLACES_PER_SECOND = 5.0  # by which that grows, until the others are known
 
@@ -43,7 +47,7 @@
             good = [w for w in good if self._takes_items(w)]
         if not good:
             return None
-        weights = [(1.0 / (1 + w.inflight)) ** 2 * self._room(w) for w in good]
+        weights = [(1.0 / (1 + w.inflight)) ** 2 * self._room(w) * self._trust(w) for w in good]
         if prefix.tokens >= LARGE_PREFIX:
             home = max(range(len(good)), key=lambda k: affinity(prefix.part, good[k].entry.id))
             weights[home] *= HOME
@@ -54,6 +58,11 @@
         """Part of a worker's places that no dispatcher uses, as far as known."""
         return max(FULL, 1.0 - worker.total / worker.capacity)
 
+    @staticmethod
+    def _trust(worker: WorkerState) -> float:
+        """Weight of a worker that answers with errors: never nothing, so that its recovery is seen."""
+        return max(DISTRUST, 1.0 - ERROR_WEIGHT * max(0.0, worker.error_share - ERRORS_USUAL))
+
     def _takes_items(self, worker: WorkerState) -> bool:
         """Whether a worker has room for a batch item beside the live requests to come."""
         share = worker.capacity * (1 - LIVE_RESERVE) / self.edges
@@ -91,6 +100,11 @@
         if worker.entry.state == "gone" and not worker.inflight:
             worker.close()
 
+    def answered(self, worker: WorkerState, status: int) -> None:
+        """A worker has answered a request that it ran."""
+        error = 1.0 if status >= 500 else 0.0
+        worker.error_share += ERROR_LEARNT * (error - worker.error_share)
+
     def failed(self, worker: WorkerState) -> None:
         """A worker was not reached, or broke off."""
         worker.failures = min(6.0, worker.failures + 1)
--- a/heronstall/dataplane/batch_runner.py
+++ b/heronstall/dataplane/batch_runner.py
@@ -237,6 +237,8 @@
         self, item: Running, worker: WorkerState, attempt: Attempt, answer: aiohttp.ClientResponse
     ) -> Outcome | None:
         worker.learn_idle(answer.headers.get("Keep-Alive"))
+        if answer.status in (200, 500):
+            self._admission.answered(worker, answer.status)
         if answer.status != 200:
             await answer.read()
             if answer.status == 422:
--- a/heronstall/dataplane/forwarding.py
+++ b/heronstall/dataplane/forwarding.py
@@ -220,6 +220,7 @@
         if answer.headers.get(REQUEST_ID) != passage.request.headers.get(REQUEST_ID):
             answer.close()
             raise Broken
+        self._admission.answered(worker, answer.status)
         resumes = (
             passage.route.type is RouteType.STREAMING and passage.route.resumable and answer.status == 200
         )
--- a/heronstall/dataplane/workers.py
+++ b/heronstall/dataplane/workers.py
@@ -33,6 +33,7 @@
     others_live: float = 0.0  # requests of the other dispatchers there, averaged over their latest words
     others_items: float = 0.0  # batch items, likewise
     failures: float = 0.0
+    error_share: float = 0.0  # of its answers lately
     avoid_until: float = 0.0  # steady time
     attempts: Attempts = field(default_factory=Attempts)
     _session: aiohttp.ClientSession | None = None
--- a/tests/tier/test_dataplane.py
+++ b/tests/tier/test_dataplane.py
@@ -221,6 +221,17 @@
         found = {w.entry.id for _ in range(200) if (w := self.admission.pick("s", NOTHING, {"w1"}))}
         self.assertEqual(found, {"w2", "w3"})
 
+    def test_a_worker_that_answers_with_errors_gets_little_until_it_recovers(self) -> None:
+        grey = self.pool.by_id["w0"]
+        for _ in range(30):
+            self.admission.answered(grey, 500)
+        found = self.drawn()
+        self.assertLess(found.get("w0", 0), 25)
+        self.assertGreater(found.get("w0", 0), 0)
+        for _ in range(60):
+            self.admission.answered(grey, 200)
+        self.assertGreater(self.drawn().get("w0", 0), 60)
+
     def test_a_large_prompt_goes_home(self) -> None:
         prefix = shared_prefix("aa:13000,bb:400")
         homes = [self.admission.pick("s", prefix, set()) for _ in range(100)]
