Send missed entries again once, and leave items with the dispatchers that run them

Now refusals of messages older than the latest resend are passed over. Now dispatchers tell what they hold with each call, and a new owner waits 0.7 s for that. Tests of both; the first fails without the change.

--- a/heronstall/batch/leases.py
+++ b/heronstall/batch/leases.py
@@ -11,6 +11,7 @@
 
 FIRST_RUN = 1.0  # seconds that an item is taken to need until that is learnt
 RUN_LEARNT = 0.05  # weight of a new item in that
+SETTLE = 0.7  # seconds in which dispatchers tell a new owner what they run, before it gives anything out
 HOLDER_SILENT = 2.5  # seconds without a call after which a dispatcher's items are given to others
 
 ItemKey = tuple[str, str]  # job, item
@@ -38,15 +39,17 @@
         self._failures: Counter[ItemKey] = Counter()
         self._numbers = 0
         self.leading = False
+        self._settled_at = 0.0
 
     @property
     def waiting(self) -> int:
         """Items that wait here."""
         return len(self._waiting) + len(self._late)
 
-    def lead(self, leads: bool) -> None:
+    def lead(self, now: float, leads: bool) -> None:
         """Begin or cease to own the shard."""
         self.leading = leads
+        self._settled_at = now + SETTLE if self._shard.jobs else now
         self.reset()
 
     def reset(self) -> None:
@@ -83,6 +86,8 @@
     def take(self, now: float, holder: str, want: int) -> list[tuple[Job, str]]:
         """Lease items that wait, the earliest deadline first; those that can't be in time give way."""
         given: list[tuple[Job, str]] = []
+        if now < self._settled_at:
+            return given
         while self._waiting and self._waiting.peekitem(0)[0][0] < now + self._run:
             place, key = self._waiting.popitem(0)
             self._late[place] = key
@@ -95,6 +100,15 @@
                 given.append((job, key[1]))
         return given
 
+    def claim(self, now: float, holder: str, keys: list[ItemKey]) -> None:
+        """A dispatcher tells what it runs, maybe leased by an owner before this one."""
+        for key in keys:
+            place = self._place.pop(key, None)
+            if place is not None:
+                self._waiting.pop(place, None)
+                self._late.pop(place, None)
+                self._leased[key] = Lease(holder, now)
+
     def finished(self, now: float, key: ItemKey) -> None:
         """A worker has done an item: learn how long that took."""
         lease = self._leased.get(key)
--- a/heronstall/controlplane/store.py
+++ b/heronstall/controlplane/store.py
@@ -148,7 +148,7 @@
         self.shards[group].wake()
 
     def _role(self, group: str, leads: bool) -> None:
-        self.shards[group].leases.lead(leads)
+        self.shards[group].leases.lead(self.host.now(), leads)
         self.shards[group].wake()
 
     async def _chores(self) -> None:
@@ -318,6 +318,7 @@
             if owned is None:
                 return self._elsewhere(request.shard)
             owned.leases.seen(self.host.now(), request.holder)
+            owned.leases.claim(self.host.now(), request.holder, [(h.job, h.item) for h in request.held])
             given = owned.leases.take(self.host.now(), request.holder, min(request.want, ITEM_LIMIT))
             ended = [name for name in request.jobs if self._over(owned, name)]
             left = deadline - self.host.now()
--- a/heronstall/dataplane/batch_runner.py
+++ b/heronstall/dataplane/batch_runner.py
@@ -24,7 +24,14 @@
 from heronstall.dataplane.workers import WorkerState
 from heronstall.distribution.shards import batch_shard
 from heronstall.transport.frames import Kind, Status
-from heronstall.transport.messages import FinishRequest, ItemReport, LeasedItem, LeaseReply, LeaseRequest
+from heronstall.transport.messages import (
+    FinishRequest,
+    ItemName,
+    ItemReport,
+    LeasedItem,
+    LeaseReply,
+    LeaseRequest,
+)
 
 log = structlog.get_logger()
 
@@ -107,7 +114,8 @@
         while not self.stopping:
             want = self._want(shard)
             jobs = sorted({r.leased.job for r in self._running.values() if r.shard == shard})
-            call = LeaseRequest(self.holder, want, int(POLL_HOLD * 1000), jobs, shard)
+            held = [ItemName(*key) for key, r in self._running.items() if r.shard == shard]
+            call = LeaseRequest(self.holder, want, int(POLL_HOLD * 1000), jobs, shard, held)
             began = time.monotonic()
             reply = await self._shards.call(shard, Kind.LEASE, bytes(call), 2.0, hold=POLL_HOLD)
             if reply.status != Status.OK:
--- a/heronstall/replication/replica.py
+++ b/heronstall/replication/replica.py
@@ -48,6 +48,7 @@
     acked_round: float = NEVER  # latest time of sending of a message that it has answered
     heard_at: float = NEVER
     snapshot_at: float = NEVER
+    resent_at: float = NEVER  # when entries were last sent again; earlier messages' refusals say nothing new
 
 
 @dataclass
@@ -373,6 +374,9 @@
         progress.heard_at = now
         progress.acked_round = max(progress.acked_round, m.round / 1e6)
         if not m.granted:
+            if m.round / 1e6 < progress.resent_at:
+                return
+            progress.resent_at = now
             progress.next = max(1, min(progress.next - 1, m.log_index + 1))
             self._send_entries(now, m.sender, progress)
             return
--- a/heronstall/transport/messages.py
+++ b/heronstall/transport/messages.py
@@ -307,6 +307,13 @@
     wait_ms: int = betterproto.uint32_field(3)
     jobs: List[str] = betterproto.string_field(4)
     shard: str = betterproto.string_field(5)
+    held: List["ItemName"] = betterproto.message_field(6)
+
+
+@dataclass
+class ItemName(betterproto.Message):
+    job: str = betterproto.string_field(1)
+    item: str = betterproto.string_field(2)
 
 
 @dataclass
--- a/tests/tier/test_batch.py
+++ b/tests/tier/test_batch.py
@@ -6,7 +6,7 @@
 
 from heronstall.batch import jobs as batch
 from heronstall.batch.jobs import BatchShard
-from heronstall.batch.leases import HOLDER_SILENT, Leases
+from heronstall.batch.leases import HOLDER_SILENT, SETTLE, Leases
 from heronstall.transport.messages import BatchItem, BatchJob, ItemResult
 
 NOW = 1000.0
@@ -108,7 +108,7 @@
         super().setUp()
         self.leases = Leases(self.shard)
         self.shard.listener = self.leases
-        self.leases.lead(True)
+        self.leases.lead(self.clock.now, True)
 
     def take(self, holder: str, want: int) -> list[str]:
         self.leases.seen(self.clock.now, holder)
@@ -164,11 +164,25 @@
         self.apply(batch.accept(job("a", 2)))
         self.take("edge", 2)
         self.finish("a", "a-0")
-        self.leases.lead(False)
+        self.leases.lead(self.clock.now, False)
         self.assertEqual(self.take("edge", 2), [])
-        self.leases.lead(True)
+        self.leases.lead(self.clock.now, True)
+        self.assertEqual(self.take("edge", 2), [])
+        self.clock.now += SETTLE
         self.assertEqual(self.take("edge", 2), ["a-1"])
 
+    def test_a_new_owner_leaves_items_with_the_dispatchers_that_run_them(self) -> None:
+        self.apply(batch.accept(job("a", 3)))
+        self.take("edge", 2)
+        self.leases.lead(self.clock.now, False)
+        self.leases.lead(self.clock.now, True)
+        self.leases.claim(self.clock.now, "edge", [("a", "a-0"), ("a", "a-1"), ("a", "unknown")])
+        self.leases.claim(self.clock.now, "other", [("a", "a-0")])
+        self.clock.now += SETTLE
+        self.assertEqual(self.take("other", 3), ["a-2"])
+        self.leases.give_back("edge", ("a", "a-0"))
+        self.assertEqual(self.take("other", 3), ["a-0"])
+
     def test_failures_are_counted_an_item(self) -> None:
         self.apply(batch.accept(job("a", 1)))
         for count in (1, 2, 3):
--- a/tests/tier/test_replication.py
+++ b/tests/tier/test_replication.py
@@ -150,6 +150,38 @@
             cluster.restart(name)
 
 
+class Resending(unittest.TestCase):
+    def test_refusals_of_messages_on_their_way_send_entries_again_once(self) -> None:
+        cluster = Cluster(3, 5)
+        cluster.run(2.0)
+        leader = cluster.leader()
+        assert leader is not None
+        behind = next(n for n in cluster.nodes if n != leader.name)
+        for _ in range(5):  # the follower misses these
+            cluster.pass_time(0.001)
+            cluster.propose(leader.name)
+        cluster.network = [m for m in cluster.network if not m.recipient.startswith(behind)]
+        cluster.run(0.001, only=set(cluster.nodes) - {behind})
+        cluster.network.clear()
+        for _ in range(5):  # these come through, each before an answer to the one before
+            cluster.pass_time(0.001)
+            cluster.propose(leader.name)
+        to_follower = [m for m in cluster.network if m.recipient.startswith(behind)]
+        cluster.network.clear()
+        for message in to_follower:
+            cluster.nodes[behind].replica.receive(cluster.now, message)
+        cluster.settle(cluster.nodes[behind])
+        refusals = list(cluster.network)
+        cluster.network.clear()
+        cluster.pass_time(0.001)
+        for message in refusals:
+            leader.replica.receive(cluster.now, message)
+        cluster.settle(leader)
+        again = [m for m in cluster.network if m.recipient.startswith(behind) and len(m.entries) >= 5]
+        self.assertGreater(len(refusals), 1)
+        self.assertEqual(len(again), 1)
+
+
 class Losses(unittest.TestCase):
     def settled(self, size: int = 3) -> Cluster:
         cluster = Cluster(size, 3)
