--- a/heronstall/replication/membership.py
+++ b/heronstall/replication/membership.py
@@ -26,7 +26,10 @@
             replica.forget_learner(other)
     new = [r for r in wanted if r not in members]
     leaving = [m for m in members if m not in wanted]
-    gone = [m for m in leaving if _silent(replica, m, now, timing.election_most)]
+    successors = {address_of(r) for r in new}
+    gone = [
+        m for m in leaving if address_of(m) in successors or _silent(replica, m, now, timing.election_most)
+    ]
     for other in new:
         if other not in replica.others:
             replica.teach(now, other)
