--- a/heronstall/cli/main.py
+++ b/heronstall/cli/main.py
@@ -4,6 +4,7 @@
 
 import click
 
+from heronstall.cli.ctl import ctl
 from heronstall.cli.demo import demo
 from heronstall.cli.keep import keep
 from heronstall.cli.lab import lab
@@ -22,5 +23,5 @@
     """
 
 
-for command in (serve, demo, model, lab, keep, rollout, settings):
+for command in (serve, demo, model, lab, keep, rollout, settings, ctl):
     main.add_command(command)
