Give items of an unknown route back; send no path that the library would change

Found by reading. A dispatcher behind by one configuration would have reported an item of a new batch route as dead (batch_runner.py _attempts): now only where it has known the route before, else it gives the item back. aiohttp drops a fragment or an empty query from a path (workers.py request): such requests are answered 400, such submissions too.

--- a/heronstall/dataplane/batch_front.py
+++ b/heronstall/dataplane/batch_front.py
@@ -47,6 +47,8 @@
     for key in ("id", "path", "body"):
         if not isinstance(raw.get(key), str):
             raise Malformed(f"requests[{number}].{key}: a text is wanted")
+    if not raw["path"].startswith("/") or "#" in raw["path"] or raw["path"].endswith("?"):
+        raise Malformed(f"requests[{number}].path: a path that can be sent as it is is wanted")
     headers = raw.get("headers", {})
     if not isinstance(headers, dict) or not all(isinstance(v, str) for v in headers.values()):
         raise Malformed(f"requests[{number}].headers: texts by name are wanted")
--- a/heronstall/dataplane/batch_runner.py
+++ b/heronstall/dataplane/batch_runner.py
@@ -21,7 +21,7 @@
 from heronstall.dataplane.prefixes import SharedPrefix, shared_prefix
 from heronstall.dataplane.routing import Route, Routes, RouteType
 from heronstall.dataplane.shard_client import ShardClient
-from heronstall.dataplane.workers import WorkerState
+from heronstall.dataplane.workers import UnsendablePath, WorkerState
 from heronstall.distribution.shards import batch_shard
 from heronstall.transport.frames import Kind, Status
 from heronstall.transport.messages import (
@@ -39,6 +39,7 @@
 POLL_PAUSE = 0.05
 STALE_AFTER = 1.5  # seconds without an answer of the owner after which nothing new is started
 RUN_TIME = 1.5  # seconds that an item needs, about
+UNKNOWN_ROUTE = 0.2  # seconds before an item of a route that was never known here is given back
 IN_TIME, LATE = 0, 1  # ranks in the deferred lane
 FINISH_WITHIN = 2.0  # seconds for one report
 
@@ -75,6 +76,7 @@
         self._pollers: dict[str, asyncio.Task[None]] = {}
         self._polled_at: dict[str, float] = {}
         self._place_free = asyncio.Event()
+        self._known_routes: set[str] = set()  # by name, of all configurations that this process has had
 
     @property
     def running(self) -> int:
@@ -83,7 +85,9 @@
 
     def routes_changed(self) -> None:
         """Poll the shards of all hosts that have batch routes."""
-        wanted = {batch_shard(host) for host in self._routes().batch_hosts()}
+        routes = self._routes()
+        self._known_routes |= {r.name for h in routes.batch_hosts() for r in routes.by_host[h]}
+        wanted = {batch_shard(host) for host in routes.batch_hosts()}
         for shard in wanted - set(self._pollers):
             self._pollers[shard] = asyncio.create_task(self._poll(shard))
 
@@ -197,7 +201,10 @@
         while not self.stopping or item.texts:
             route = self._routes().find(item.leased.host, item.leased.item.path)
             if route is None or route.type is not RouteType.BATCH:
-                return Outcome.ROUTE_GONE
+                if item.leased.route in self._known_routes:
+                    return Outcome.ROUTE_GONE
+                await asyncio.sleep(UNKNOWN_ROUTE)  # maybe newer than this dispatcher's configuration
+                return Outcome.RETURNED
             fresh = time.monotonic() - self._polled_at.get(item.shard, 0.0) < STALE_AFTER
             service = route.service(self._admission._random)
             prefix = _prefix(item.leased)
@@ -230,6 +237,8 @@
                 outcome = await self._read(item, worker, attempt, answer)
             well = True
             return outcome
+        except UnsendablePath:
+            return Outcome.UNDOABLE
         except (aiohttp.ClientError, ConnectionError, TimeoutError):
             admission.failed(worker)
             return None
--- a/heronstall/dataplane/forwarding.py
+++ b/heronstall/dataplane/forwarding.py
@@ -18,7 +18,7 @@
 from heronstall.dataplane.events import EventReader
 from heronstall.dataplane.prefixes import SharedPrefix, shared_prefix
 from heronstall.dataplane.routing import Route, RouteType
-from heronstall.dataplane.workers import WorkerPool, WorkerState
+from heronstall.dataplane.workers import UnsendablePath, WorkerPool, WorkerState
 
 log = structlog.get_logger()
 
@@ -179,6 +179,8 @@
                 finally:
                     if not well:
                         answer.close()
+        except UnsendablePath:
+            return failure(400)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             admission.failed(worker)
             return Tried.NOT_RUN
--- a/heronstall/dataplane/workers.py
+++ b/heronstall/dataplane/workers.py
@@ -23,6 +23,10 @@
 SKIPPED_HEADERS = frozenset({"Accept", "Accept-Encoding", "User-Agent", "Content-Type"})
 
 
+class UnsendablePath(ValueError):
+    """The library would send another path than the client's."""
+
+
 @dataclass
 class WorkerState:
     """One incarnation of a worker."""
@@ -84,6 +88,8 @@
     ) -> aiohttp.ClientResponse:
         """Send one request, once; returns when the head of the answer is there."""
         url = URL(f"http://{self.entry.address}{path}", encoded=True)
+        if url.raw_path_qs != path:
+            raise UnsendablePath(path)
         return await self.session().request(
             method, url, headers=headers, data=body or None, allow_redirects=False
         )
--- a/tests/tier/test_dataplane.py
+++ b/tests/tier/test_dataplane.py
@@ -8,19 +8,23 @@
 import unittest
 from unittest import mock
 
+import aiohttp
 import ujson
+from multidict import CIMultiDict
 
+from heronstall.batch.outcomes import Outcome
 from heronstall.dataplane import attempts as silence
 from heronstall.dataplane.admission import ITEM_FULL, Admission
 from heronstall.dataplane.attempts import Attempts
 from heronstall.dataplane.batch_front import Malformed, read_items
+from heronstall.dataplane.batch_runner import BatchRunner, Running
 from heronstall.dataplane.deferred import DeferredLane
 from heronstall.dataplane.events import EventReader
 from heronstall.dataplane.prefixes import NOTHING, affinity, shared_prefix
 from heronstall.dataplane.routing import Routes, RouteType, read_routes
-from heronstall.dataplane.workers import WorkerPool
+from heronstall.dataplane.workers import UnsendablePath, WorkerPool, WorkerState
 from heronstall.transport.frames import Frame, FrameError, FrameReader, Kind, Status, encode
-from heronstall.transport.messages import Worker, WorkerLoad
+from heronstall.transport.messages import BatchItem, LeasedItem, Worker, WorkerLoad
 
 
 def routes() -> Routes:
@@ -253,6 +257,37 @@
         self.assertEqual(self.admission.item_places("s"), 16)
 
 
+class Paths(unittest.IsolatedAsyncioTestCase):
+    async def test_a_path_that_the_library_would_change_is_not_sent(self) -> None:
+        worker = WorkerState(Worker(id="w", address="127.0.0.1:1"))
+        for path in ("/a#b", "/a?", "/a?b#c"):
+            with self.subTest(path=path), self.assertRaises(UnsendablePath):
+                await worker.request("POST", path, CIMultiDict(), b"")
+        for path in ("/a", "//a/../b", "/a%2Fb?c=d&c=%20", "/a;b=c?x"):
+            with self.subTest(path=path), self.assertRaises(aiohttp.ClientConnectorError):
+                await worker.request("POST", path, CIMultiDict(), b"")
+        await worker.session().close()
+
+
+class ItemsOfRoutes(unittest.IsolatedAsyncioTestCase):
+    async def outcome(self, configurations: list[Routes]) -> Outcome:
+        """What becomes of an item of route `lots` at a dispatcher that has had these configurations."""
+        now = configurations[0]
+        runner = BatchRunner("edge", mock.Mock(), mock.Mock(), mock.Mock(), lambda: now)
+        runner._poll = mock.AsyncMock()  # type: ignore[method-assign]
+        for now in configurations:
+            runner.routes_changed()
+        leased = LeasedItem(job="j", host="h.example", item=BatchItem(id="i", path="/lots/1"), route="lots")
+        with mock.patch("heronstall.dataplane.batch_runner.UNKNOWN_ROUTE", 0):
+            return await runner._attempts(Running(leased, "batch-0"))
+
+    async def test_an_item_of_a_route_that_is_gone_is_dead(self) -> None:
+        self.assertEqual(await self.outcome([routes(), Routes(revision=4)]), Outcome.ROUTE_GONE)
+
+    async def test_an_item_of_a_route_not_yet_known_is_given_back(self) -> None:
+        self.assertEqual(await self.outcome([Routes(revision=2)]), Outcome.RETURNED)
+
+
 class Submissions(unittest.TestCase):
     def test_items_are_read(self) -> None:
         entry = {"id": "i", "path": "/p", "headers": {"A": "b"}, "body": "q83vEg==", "tokens": 9}
@@ -273,6 +308,8 @@
             ({"requests": [{**entry, "headers": {"a": 1}}]}, "requests[0].headers"),
             ({"requests": [{**entry, "tokens": -1}]}, "requests[0].tokens"),
             ({"requests": [3]}, "requests[0]"),
+            ({"requests": [{**entry, "path": "p"}]}, "requests[0].path"),
+            ({"requests": [{**entry, "path": "/p#q"}]}, "requests[0].path"),
         ):
             with self.subTest(named=named), self.assertRaises(Malformed) as caught:
                 read_items((wrong if isinstance(wrong, str) else ujson.dumps(wrong)).encode())
