--- a/tests/tier/test_dataplane.py
+++ b/tests/tier/test_dataplane.py
@@ -272,10 +272,11 @@
 class ItemsOfRoutes(unittest.IsolatedAsyncioTestCase):
     async def outcome(self, configurations: list[Routes]) -> Outcome:
         """What becomes of an item of route `lots` at a dispatcher that has had these configurations."""
-        now = configurations[0]
-        runner = BatchRunner("edge", mock.Mock(), mock.Mock(), mock.Mock(), lambda: now)
+        current = mock.Mock()
+        runner = BatchRunner("edge", mock.Mock(), mock.Mock(), mock.Mock(), current)
         runner._poll = mock.AsyncMock()  # type: ignore[method-assign]
-        for now in configurations:
+        for configuration in configurations:
+            current.return_value = configuration
             runner.routes_changed()
         leased = LeasedItem(job="j", host="h.example", item=BatchItem(id="i", path="/lots/1"), route="lots")
         with mock.patch("heronstall.dataplane.batch_runner.UNKNOWN_ROUTE", 0):
