A batch item rests after a worker has failed at it, longer after each further failure

Cause: an item that a worker answered with 500 was given out again at once; where all workers fail for seconds, its max_attempts were used up within one second and it was listed as dead_letter (heronstall/batch/leases.py, failed()).

Change: the owner keeps it back for 0.4 s, doubled by each further failure, 1.6 s at the most; chores wake held calls when a pause is over. A place in any of the three queues is removed by one function. _result takes the owner's time instead of reading a clock. The model of messages lets every pause pass before a call, so all orders stay reachable.

Tests: test_batch (pauses, listing, claims and ends while it rests, new owner), test_store, test_lease_messages: all pass.

--- a/heronstall/batch/leases.py
+++ b/heronstall/batch/leases.py
@@ -5,7 +5,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Mapping, Set
 from dataclasses import dataclass
-from typing import NamedTuple
+from typing import NamedTuple, TypeAlias
 
 from sortedcontainers import SortedDict
 
@@ -15,12 +15,18 @@
 RUN_LEARNT = 0.05  # weight of a new item in that
 SETTLE = 0.7  # seconds in which dispatchers tell a new owner what they run, before it gives anything out
 HOLDER_SILENT = 2.5  # seconds without a call after which a dispatcher's items are given to others
+FAILED_PAUSE = (
+    0.4  # seconds before an item at which a worker failed is given out again; doubled by each failure
+)
+FAILED_PAUSE_MOST = 1.6
 
 LEASES_OF_A_TERM = 2**32  # lease numbers of one owner; those of a later term are higher
 ITEM_LIMIT = 64  # items given out in one call
 ANSWER_BYTES = 512 * 1024  # of items given out in one answer
 
 ItemKey = tuple[str, str]  # job, item
+Position = tuple[float, int]  # steady time, number of arrival
+Queue: TypeAlias = SortedDict[Position, ItemKey]
 
 
 @dataclass
@@ -45,10 +51,11 @@
 
     def __init__(self, shard: BatchShard) -> None:
         self._shard = shard
-        self._waiting: SortedDict[tuple[float, int], ItemKey] = SortedDict()
-        self._late: SortedDict[tuple[float, int], ItemKey] = SortedDict()  # can't be in time any more
+        self._waiting: Queue = SortedDict()  # by deadline
+        self._late: Queue = SortedDict()  # by deadline; can't be in time any more
+        self._paused: Queue = SortedDict()  # by the end of the pause after a failure
         self._run = FIRST_RUN  # seconds that an item takes, learnt
-        self._place: dict[ItemKey, tuple[float, int]] = {}
+        self._place: dict[ItemKey, tuple[Queue, Position]] = {}
         self._leased: dict[ItemKey, Lease] = {}
         self._leased_to: defaultdict[str, set[ItemKey]] = defaultdict(set)  # by holder
         self._seen: dict[str, float] = {}
@@ -62,7 +69,7 @@
 
     @property
     def waiting(self) -> int:
-        """Items that wait here."""
+        """Items that may be given out now."""
         return len(self._waiting) + len(self._late)
 
     def lead(self, now: float, leads: bool, term: int = 0) -> None:
@@ -77,6 +84,7 @@
         """All open items wait again."""
         self._waiting.clear()
         self._late.clear()
+        self._paused.clear()
         self._place.clear()
         self._leased.clear()
         self._leased_to.clear()
@@ -121,9 +129,10 @@
         given: list[Given] = []
         if now < self._settled_at:
             return given
+        self.resume(now)
         while self._waiting and self._waiting.peekitem(0)[0][0] < now + self._run:
-            place, key = self._waiting.popitem(0)
-            self._late[place] = key
+            position, key = self._waiting.popitem(0)
+            self._put(self._late, position, key)
         size = 0
         while len(given) < want and size < most_bytes and (self._waiting or self._late):
             _, key = (self._waiting or self._late).popitem(0)
@@ -145,9 +154,7 @@
         for key, number in running.items():
             if key not in self._place or (number and number <= self._reported.get(key, 0)):
                 continue
-            place = self._place.pop(key)
-            self._waiting.pop(place, None)
-            self._late.pop(place, None)
+            self._remove(key)
             self._lease(key, Lease(holder, now, number))
 
     def take_back(self, holder: str, kept: Set[ItemKey]) -> int:
@@ -166,22 +173,44 @@
     def give_back(self, holder: str, key: ItemKey, number: int = 0) -> bool:
         """A dispatcher returns an item that it has not finished. False where that lease has ended before."""
         self._first_report(key, number)
-        lease = self._leased.get(key)
-        if lease is None or lease.holder != holder or number not in (0, lease.number):
-            return False
-        self._again(key)
-        return True
+        return self._end_report(holder, key, number)
 
-    def failed(self, holder: str, key: ItemKey, number: int = 0) -> int:
-        """A worker has failed at an item; how often that has happened. The item waits again.
+    def failed(self, now: float, holder: str, key: ItemKey, number: int = 0) -> int:
+        """A worker has failed at an item; how often that has happened. The item waits again, after a pause.
 
-        A report that comes again counts nothing.
+        A report that comes again counts nothing. Without the pause, all attempts of an item would fail within
+        the second in which all workers are in trouble.
         """
         if self._first_report(key, number):
             self._failures[key] += 1
-        self.give_back(holder, key, number)
+        if self._end_report(holder, key, number) and key in self._place:
+            self._pause(now, key)
         return self._failures[key]
 
+    def resume(self, now: float) -> int:
+        """Items whose pause is over may be given out; how many there were."""
+        resumed = 0
+        while self._paused and self._paused.peekitem(0)[0][0] <= now:
+            _, key = self._paused.popitem(0)
+            del self._place[key]
+            self._wait(self._shard.jobs[key[0]], key[1])
+            resumed += 1
+        return resumed
+
+    def _pause(self, now: float, key: ItemKey) -> None:
+        self._remove(key)
+        pause = min(FAILED_PAUSE_MOST, FAILED_PAUSE * 2.0 ** (self._failures[key] - 1))
+        self._numbers += 1
+        self._put(self._paused, (now + pause, self._numbers), key)
+
+    def _end_report(self, holder: str, key: ItemKey, number: int) -> bool:
+        """Take back the lease that a report ends. False where it has ended before."""
+        lease = self._leased.get(key)
+        if lease is None or lease.holder != holder or number not in (0, lease.number):
+            return False
+        self._again(key)
+        return True
+
     def _first_report(self, key: ItemKey, number: int) -> bool:
         """Whether neither this lease nor a later one of the item was reported before."""
         if not number:
@@ -197,7 +226,6 @@
         for holder in silent:
             del self._seen[holder]
             self._calls.pop(holder, None)
-            self._calls.pop(holder, None)
         lost = [k for k, lease in self._leased.items() if lease.holder not in self._seen]
         for key in lost:
             self._again(key)
@@ -227,15 +255,19 @@
         if key in self._place:
             return
         self._numbers += 1
-        place = (job.accepted_at + job.record.completion_ms / 1000, self._numbers)
-        self._place[key] = place
-        self._waiting[place] = key
+        self._put(self._waiting, (job.accepted_at + job.record.completion_ms / 1000, self._numbers), key)
+
+    def _put(self, queue: Queue, position: Position, key: ItemKey) -> None:
+        queue[position] = key
+        self._place[key] = (queue, position)
+
+    def _remove(self, key: ItemKey) -> None:
+        queue, position = self._place.pop(key)
+        del queue[position]
 
     def _drop(self, key: ItemKey) -> None:
-        place = self._place.pop(key, None)
-        if place is not None:
-            self._waiting.pop(place, None)
-            self._late.pop(place, None)
+        if key in self._place:
+            self._remove(key)
         self._end_lease(key)
         self._reported.pop(key, None)
         self._failures.pop(key, None)
--- a/heronstall/controlplane/store.py
+++ b/heronstall/controlplane/store.py
@@ -183,7 +183,7 @@
                     replica.ask_to_join(now, [r for r in wanted if r != self.host.me])
                 if not replica.holds_lease(now):
                     continue
-                if owned.leases.expire(now):
+                if owned.leases.expire(now) + owned.leases.resume(now):
                     owned.wake()
                 try:
                     await self._clean(group, owned)
@@ -351,8 +351,9 @@
         return job is None or job.ended
 
     async def _finish(self, owned: OwnedShard, request: FinishRequest) -> Reply:
-        owned.leases.seen(self.host.now(), request.holder)
-        listed = [r for report in request.reports if (r := self._result(owned, request.holder, report))]
+        now, holder = self.host.now(), request.holder
+        owned.leases.seen(now, holder)
+        listed = [r for report in request.reports if (r := self._result(owned, now, holder, report))]
         if listed:
             await self.host.propose(request.shard, batch.results(listed), COMMIT_WITHIN)
         else:
@@ -360,19 +361,20 @@
         return Reply(Status.OK)
 
     @staticmethod
-    def _result(owned: OwnedShard, holder: str, report: ItemReport) -> ItemResult | None:
+    def _result(owned: OwnedShard, now: float, holder: str, report: ItemReport) -> ItemResult | None:
         """The result that a report makes, if it makes one."""
         job = owned.state.jobs.get(report.job)
         if job is None or report.item not in job.open_items:
             return None
         key = (report.job, report.item)
         if report.outcome == Outcome.DONE:
-            owned.leases.finished(time.monotonic(), key)
+            owned.leases.finished(now, key)
             return ItemResult(report.job, report.item, True, report.text)
         if report.outcome in (Outcome.UNDOABLE, Outcome.ROUTE_GONE):
             return ItemResult(report.job, report.item)
         if report.outcome == Outcome.FAILED:
-            if owned.leases.failed(holder, key, report.lease) >= max(1, job.record.max_attempts):
+            failures = owned.leases.failed(now, holder, key, report.lease)
+            if failures >= max(1, job.record.max_attempts):
                 return ItemResult(report.job, report.item)
             return None
         owned.leases.give_back(holder, key, report.lease)
--- a/tests/tier/lease_model.py
+++ b/tests/tier/lease_model.py
@@ -17,7 +17,7 @@
 from heronstall.batch import jobs as batch
 from heronstall.batch.items import put_items
 from heronstall.batch.jobs import BatchShard
-from heronstall.batch.leases import SETTLE, Leases
+from heronstall.batch.leases import FAILED_PAUSE_MOST, SETTLE, Leases
 from heronstall.batch.outcomes import Outcome
 from heronstall.controlplane.store import OwnedShard, Store
 from heronstall.dataplane.batch_runner import BatchRunner, Running
@@ -109,6 +109,7 @@
         request = LeaseRequest().parse(body)
         if not Store._begin_call(self.shard, request):
             return ()
+        self.now += FAILED_PAUSE_MOST  # every pause after a failure is over: its item may be given again
         self.leases.seen(self.now, EDGE)
         self.leases.claim(self.now, EDGE, {(h.job, h.item): h.lease for h in request.held})
         return tuple((item, number) for _, item, number in self.leases.take(self.now, EDGE, request.want))
@@ -119,7 +120,7 @@
             (item, lease) for item, outcome, lease in entries if outcome == Outcome.FAILED
         }
         reports = [ItemReport(JOB, item, outcome, b"", lease) for item, outcome, lease in entries]
-        found = [r for report in reports if (r := Store._result(self.shard, EDGE, report))]
+        found = [r for report in reports if (r := Store._result(self.shard, self.now, EDGE, report))]
         if found:
             self.applied += 1
             self.state.apply(self.applied, batch.results(found))
--- a/tests/tier/test_batch.py
+++ b/tests/tier/test_batch.py
@@ -7,7 +7,7 @@
 from heronstall.batch import jobs as batch
 from heronstall.batch.items import encode_with_items, put_items, put_stored, stored_items
 from heronstall.batch.jobs import BatchShard
-from heronstall.batch.leases import HOLDER_SILENT, SETTLE, Leases
+from heronstall.batch.leases import FAILED_PAUSE, FAILED_PAUSE_MOST, HOLDER_SILENT, SETTLE, Leases
 from heronstall.transport.messages import BatchItem, BatchJob, Header, ItemResult
 
 NOW = 1000.0
@@ -215,16 +215,52 @@
         self.apply(batch.accept(job("a", 1)))
         for count in (1, 2, 3):
             self.take("edge", 1)
-            self.assertEqual(self.leases.failed("edge", ("a", "a-0")), count)
+            self.assertEqual(self.leases.failed(self.clock.now, "edge", ("a", "a-0")), count)
+
+    def test_an_item_rests_after_a_failure_and_longer_after_each_further_one(self) -> None:
+        self.apply(batch.accept(job("a", 1)))
+        self.assertEqual(self.take("edge", 1), ["a-0"])
+        for pause in (FAILED_PAUSE, 2 * FAILED_PAUSE, 4 * FAILED_PAUSE, FAILED_PAUSE_MOST, FAILED_PAUSE_MOST):
+            self.leases.failed(self.clock.now, "edge", ("a", "a-0"))
+            self.clock.now += pause - 0.01
+            self.assertEqual(self.leases.resume(self.clock.now), 0)
+            self.assertEqual(self.leases.waiting, 0)
+            self.clock.now += 0.02
+            self.assertEqual(self.take("edge", 1), ["a-0"])
+
+    def test_an_item_that_rests_is_given_back_listed_and_claimed_like_one_that_waits(self) -> None:
+        self.apply(batch.accept(job("a", 3)))
+        self.assertEqual(len(self.take("edge", 3)), 3)
+        for item in ("a-0", "a-1", "a-2"):
+            self.leases.failed(self.clock.now, "edge", ("a", item))
+        self.finish("a", "a-0")
+        self.leases.claim(self.clock.now, "other", {("a", "a-1"): 9})
+        self.clock.now += FAILED_PAUSE
+        self.assertEqual(self.take("edge", 3), ["a-2"])
+        self.leases.failed(self.clock.now, "edge", ("a", "a-2"))
+        self.apply(batch.end("a"))
+        self.clock.now += FAILED_PAUSE_MOST
+        self.assertEqual(self.leases.resume(self.clock.now), 0)
+        self.assertEqual(self.take("edge", 3), [])
+
+    def test_a_new_owner_knows_of_no_pause(self) -> None:
+        self.apply(batch.accept(job("a", 1)))
+        self.take("edge", 1)
+        self.leases.failed(self.clock.now, "edge", ("a", "a-0"))
+        self.leases.lead(self.clock.now, True)
+        self.clock.now += SETTLE
+        self.assertEqual(self.take("edge", 1), ["a-0"])
+        self.assertEqual(self.leases.resume(self.clock.now + FAILED_PAUSE_MOST), 0)
 
     def test_a_failure_that_is_reported_twice_counts_once(self) -> None:
         self.apply(batch.accept(job("a", 1)))
         (_, _, first) = self.leases.take(self.clock.now, "edge", 1)[0]
-        self.assertEqual(self.leases.failed("edge", ("a", "a-0"), first), 1)
-        self.assertEqual(self.leases.failed("edge", ("a", "a-0"), first), 1)
+        self.assertEqual(self.leases.failed(self.clock.now, "edge", ("a", "a-0"), first), 1)
+        self.assertEqual(self.leases.failed(self.clock.now, "edge", ("a", "a-0"), first), 1)
+        self.clock.now += FAILED_PAUSE
         (_, _, second) = self.leases.take(self.clock.now, "edge", 1)[0]
-        self.assertEqual(self.leases.failed("edge", ("a", "a-0"), first), 1)
-        self.assertEqual(self.leases.failed("edge", ("a", "a-0"), second), 2)
+        self.assertEqual(self.leases.failed(self.clock.now, "edge", ("a", "a-0"), first), 1)
+        self.assertEqual(self.leases.failed(self.clock.now, "edge", ("a", "a-0"), second), 2)
 
     def test_a_late_report_does_not_end_a_later_lease(self) -> None:
         self.apply(batch.accept(job("a", 1)))
@@ -262,10 +298,12 @@
         for number in (former, None):  # of an owner before this one, and of this one
             number = number or self.leases.take(self.clock.now, "edge", 1)[0].number
             self.leases.claim(self.clock.now, "edge", {key: number})
-            failures = self.leases.failed("edge", key, number)
+            failures = self.leases.failed(self.clock.now, "edge", key, number)
             self.leases.claim(self.clock.now, "edge", {key: number})
+            self.clock.now += FAILED_PAUSE_MOST
+            self.assertEqual(self.leases.resume(self.clock.now), 1)
             self.assertEqual(self.leases.waiting, 1)
-            self.assertEqual(self.leases.failed("edge", key, number), failures)
+            self.assertEqual(self.leases.failed(self.clock.now, "edge", key, number), failures)
         self.assertEqual(failures, 2)
 
     def test_a_failure_of_a_lease_that_has_expired_counts(self) -> None:
@@ -274,7 +312,7 @@
         (_, _, first) = self.leases.take(self.clock.now, "edge", 1)[0]
         self.clock.now += HOLDER_SILENT + 0.1
         self.assertEqual(self.leases.expire(self.clock.now), 1)
-        self.assertEqual(self.leases.failed("edge", ("a", "a-0"), first), 1)
+        self.assertEqual(self.leases.failed(self.clock.now, "edge", ("a", "a-0"), first), 1)
         self.assertEqual(self.leases.waiting, 1)
 
     def test_an_answer_holds_no_more_than_so_many_bytes_and_one_item(self) -> None:
--- a/tests/tier/test_lease_messages.py
+++ b/tests/tier/test_lease_messages.py
@@ -25,7 +25,7 @@
 class CountsCurrentLeasesAlone(Leases):
     """Planted: a failure does not count where the owner has taken the lease back meanwhile."""
 
-    def failed(self, holder: str, key: ItemKey, number: int = 0) -> int:
+    def failed(self, now: float, holder: str, key: ItemKey, number: int = 0) -> int:
         if self.give_back(holder, key, number):
             self._failures[key] += 1
         return self._failures[key]
@@ -34,7 +34,7 @@
 class CountsEachReport(Leases):
     """Planted: a report that comes twice counts twice."""
 
-    def failed(self, holder: str, key: ItemKey, number: int = 0) -> int:
+    def failed(self, now: float, holder: str, key: ItemKey, number: int = 0) -> int:
         self._failures[key] += 1
         self.give_back(holder, key, number)
         return self._failures[key]
--- a/tests/tier/test_store.py
+++ b/tests/tier/test_store.py
@@ -11,6 +11,7 @@
 from unittest import mock
 
 from heronstall.batch.items import put_items
+from heronstall.batch.leases import FAILED_PAUSE
 from heronstall.batch.outcomes import Outcome
 from heronstall.config import node_settings
 from heronstall.controlplane.store import Store
@@ -154,6 +155,8 @@
         (first,) = await self.lease(1)
         await self.report(first, Outcome.FAILED)
         self.assertEqual(await self.read("a"), [])
+        self.assertEqual(await self.lease(1), [])
+        self.now += FAILED_PAUSE
         (second,) = await self.lease(1)
         await self.report(second, Outcome.FAILED)
         self.assertEqual(await self.read("a"), [("a-0", False, b"")])
