--- a/heronstall/dataplane/__main__.py
+++ b/heronstall/dataplane/__main__.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import heronstall.without_tls  # noqa: F401  (before what would import ssl)
+
+# isort: split
 import asyncio
 
 import click
--- a/heronstall/dataplane/batch_runner.py
+++ b/heronstall/dataplane/batch_runner.py
@@ -243,7 +243,8 @@
         now = time.monotonic()
         deadline = now + item.leased.due_in_ms / 1000
         rank = LATE if deadline < now + RUN_TIME else IN_TIME
-        await self._deferred.wait(rank, deadline, deadline - RUN_TIME, lambda: self._may_start(item))
+        due = deadline - RUN_TIME
+        await self._deferred.wait(rank, deadline, due, lambda: self._may_start(item), item.leased.route)
 
     def _may_start(self, item: Running) -> bool:
         route = self._routes().find(item.leased.host, item.request.path)
--- a/heronstall/dataplane/deferred.py
+++ b/heronstall/dataplane/deferred.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 from dataclasses import dataclass
 
 from heronstall.policy.lane import DeadlineLane
@@ -21,6 +21,7 @@
 
     due: float  # steady time from which it is released though the workers are busy
     may_start: Callable[[], bool]
+    alike: Hashable  # work for which `may_start` says the same within one look; None is alike to nothing
     released: asyncio.Future[None]
 
 
@@ -37,9 +38,11 @@
     def __len__(self) -> int:
         return len(self._lane)
 
-    async def wait(self, rank: int, deadline: float, due: float, may_start: Callable[[], bool]) -> None:
+    async def wait(
+        self, rank: int, deadline: float, due: float, may_start: Callable[[], bool], alike: Hashable = None
+    ) -> None:
         """Return when the work may start; cancelling gives the place up."""
-        work = Deferred(due, may_start, asyncio.get_running_loop().create_future())
+        work = Deferred(due, may_start, alike, asyncio.get_running_loop().create_future())
         self._lane.push((rank, int(deadline * MICROSECONDS)), work)
         self._news.set()
         await work.released
@@ -51,16 +54,19 @@
             self._watched_at = now
             self.switch.update(int(now * MICROSECONDS), self._utilisation())
         passed: list[tuple[tuple[int, int], Deferred]] = []  # not due, or without room: others need not wait
+        without_room: set[Hashable] = set()
         while self._lane:
             key, work = self._lane.first()
             self._lane.pop()
             if work.released.done():
                 continue
             held = self.switch.busy and work.due > now
-            if not held and work.may_start():
+            if not held and work.alike not in without_room and work.may_start():
                 work.released.set_result(None)
-            else:
-                passed.append((key, work))
+                continue
+            if not held and work.alike is not None:
+                without_room.add(work.alike)
+            passed.append((key, work))
         for key, work in passed:
             self._lane.push(key, work)
 
--- a/tests/tier/test_dataplane.py
+++ b/tests/tier/test_dataplane.py
@@ -185,6 +185,26 @@
             item.cancel()
             await asyncio.sleep(0)
 
+    async def test_for_work_that_is_alike_room_is_looked_for_once_until_there_is_some(self) -> None:
+        asked: list[str] = []
+
+        async def wait(name: str, route: str | None) -> None:
+            def may_start() -> bool:
+                asked.append(name)
+                return self.room > 0
+
+            await self.lane.wait(0, 60.0, 59.0, may_start, route)
+            self.order.append(name)
+
+        for name, route in (("a1", "a"), ("a2", "a"), ("b1", "b"), ("n1", None), ("n2", None)):
+            asyncio.create_task(wait(name, route))
+        await asyncio.sleep(0)
+        self.room = 0
+        self.assertEqual(await self.look(), [])
+        self.assertEqual(asked, ["a1", "b1", "n1", "n2"])
+        self.room = 1
+        self.assertEqual(await self.look(), ["a1", "a2", "b1", "n1", "n2"])
+
     async def test_work_that_was_given_up_holds_nobody(self) -> None:
         first = await self.add("a", 0, 60.0, 59.0)
         await self.add("b", 0, 61.0, 60.0)
