A long prompt excuses a worker's silence before its first event

Cause: an attempt that may be repeated was ended after 0.5 s where nothing else came from its worker (dataplane/attempts.py, suspected, end_silent).

Change: before the first event an attempt may be silent a second longer for each 30,000 tokens of its prompt, 2 s at the most.

--- a/heronstall/dataplane/attempts.py
+++ b/heronstall/dataplane/attempts.py
@@ -9,6 +9,8 @@
 WORKER_SILENT = 0.5  # seconds: a worker from which nothing has come since an attempt that old is suspected
 REQUEST_SILENT = 1.2  # seconds without an event after which a request that may be repeated goes elsewhere
 ITEM_SILENT = 3.0  # the same for a batch item, which may wait in a worker's queue
+READ_PER_SECOND = 30_000  # prompt tokens that a loaded worker reads at the least: as long it may be silent
+READING_MOST = 2.0  # seconds of silence that a prompt excuses at the most, whatever its length
 
 
 @dataclass(eq=False)
@@ -19,6 +21,7 @@
     patience: float | None  # seconds of silence after which it may be tried elsewhere; None: never
     sent_at: float
     heard_at: float
+    reading: float = 0.0  # seconds that the worker may need for its prompt before anything comes
 
 
 @dataclass
@@ -28,10 +31,10 @@
     under_way: set[Attempt] = field(default_factory=set)
     heard_at: float = 0.0  # latest byte of the worker on any connection
 
-    def begin(self, limit: asyncio.Timeout, patience: float | None) -> Attempt:
+    def begin(self, limit: asyncio.Timeout, patience: float | None, prompt_tokens: int = 0) -> Attempt:
         """An attempt is sent."""
         now = time.monotonic()
-        attempt = Attempt(limit, patience, now, now)
+        attempt = Attempt(limit, patience, now, now, min(READING_MOST, prompt_tokens / READ_PER_SECOND))
         self.under_way.add(attempt)
         return attempt
 
@@ -51,7 +54,9 @@
     def suspected(self, now: float) -> bool:
         """Whether the worker seems dark: an attempt waits, and nothing has come since it was sent."""
         return any(
-            now - a.sent_at > WORKER_SILENT and a.heard_at == a.sent_at and self.heard_at <= a.sent_at
+            now - a.sent_at > WORKER_SILENT + a.reading
+            and a.heard_at == a.sent_at
+            and self.heard_at <= a.sent_at
             for a in self.under_way
         )
 
@@ -59,10 +64,17 @@
         """End the attempts that may be repeated and get nothing; how many."""
         most = WORKER_SILENT if self.suspected(now) else ITEM_SILENT
         silent = [
-            a for a in self.under_way if a.patience is not None and now - a.heard_at > min(most, a.patience)
+            a
+            for a in self.under_way
+            if a.patience is not None and now - a.heard_at > min(most, a.patience) + _reading(a)
         ]
         loop_now = asyncio.get_running_loop().time()
         for attempt in silent:
             self.end(attempt)
             attempt.limit.reschedule(loop_now)
         return len(silent)
+
+
+def _reading(attempt: Attempt) -> float:
+    """Seconds of silence that its prompt still excuses."""
+    return attempt.reading if attempt.heard_at == attempt.sent_at else 0.0
--- a/heronstall/dataplane/forwarding.py
+++ b/heronstall/dataplane/forwarding.py
@@ -28,6 +28,8 @@
 DEADLINE = "Heronstall-Deadline-Ms"
 TARGET = "Heronstall-Target-Instance"
 PREFIX = "Heronstall-Prompt-Prefix"
+USAGE = "Heronstall-Token-Usage"
+TOKEN_DIGITS = 9  # of a number of tokens, at the most
 NOT_EXECUTED = "Heronstall-Not-Executed"
 SIGNATURE = "Heronstall-Response-Signature"
 LAST_EVENT = "Last-Event-Id"
@@ -87,6 +89,12 @@
         """The shared parts of its prompt."""
         return shared_prefix(self.request.headers.get(PREFIX, ""))
 
+    @cached_property
+    def prompt_tokens(self) -> int:
+        """Tokens of its prompt; 0 where it does not tell."""
+        tokens = self.request.headers.get(USAGE, "").partition(",")[0].strip()
+        return int(tokens) if tokens.isdecimal() and len(tokens) <= TOKEN_DIGITS else 0
+
 
 class PassedResponse(web.StreamResponse):
     """A worker's answer, without the headers that the library would add."""
@@ -167,7 +175,8 @@
         well = False
         try:
             async with asyncio.timeout(passage.deadline - time.monotonic()) as limit:
-                passage.attempt = worker.attempts.begin(limit, REQUEST_SILENT if passage.may_repeat else None)
+                patience = REQUEST_SILENT if passage.may_repeat else None
+                passage.attempt = worker.attempts.begin(limit, patience, passage.prompt_tokens)
                 answer = await worker.request(
                     passage.request.method,
                     passage.request.raw_path,
