--- a/heronstall/cli/tier.py
+++ b/heronstall/cli/tier.py
@@ -9,7 +9,7 @@
 import tempfile
 from collections.abc import Callable, Iterator
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import click
 
@@ -223,31 +223,68 @@
 @click.option("--rate", type=click.FloatRange(min=0.1, max=2000), default=50.0, show_default=True)
 @click.option("--seconds", type=click.FloatRange(min=1, max=600), default=10.0, show_default=True)
 @click.option("--seed", type=click.IntRange(min=0), default=1, show_default=True, help="Of the arrivals.")
+@click.option(
+    "--items",
+    type=click.IntRange(1, 200),
+    help="Batch jobs of so many items in place of streamed requests; RATE counts jobs.",
+)
 @click.option("--json", "to", metavar="FILE", help="Write the record there; - is standard output.")
-def load(targets: str, rate: float, seconds: float, seed: int, to: str | None) -> None:
-    """Send streamed requests to a tier that is up, RATE a second in open loop; loopback addresses only.
+def load(targets: str, rate: float, seconds: float, seed: int, items: int | None, to: str | None) -> None:
+    """Send streamed requests or batch jobs to a tier that is up, in open loop; loopback addresses only.
 
-    Latency counts from the moment a request was due. Exit 1 where an answer was cut or unsigned, or where
+    Latency counts from the moment a request or job was due. Each job is read to its end, and once more at
+    another dispatcher. Exit 1 where an answer was cut or unsigned, a job was lost or has changed, or where
     this tool itself ran late.
 
-    Example: heronstall tier load --to 127.20.8.51:8161,127.20.8.52:8161 --rate 100
+    Example: heronstall tier load --to 127.20.8.51:8161,127.20.8.52:8161 --rate 2 --items 30
     """
-    from heronstall.lab.tier.load import MALFORMED, OpenLoop
-
     addresses = [f"{host}:{port}" for host, port in map(loopback_address, targets.split(","))]
-    record = asyncio.run(OpenLoop(addresses, rate, seconds, seed).play())
+    if items is None:
+        record, broken = _stream_load(addresses, rate, seconds, seed)
+    else:
+        record, broken = _batch_load(addresses, rate, seconds, seed, items)
     write_json(record, to)
     if to != "-":
-        came = ", ".join(f"{count} {name}" for name, count in record["came"].items())
-        click.echo(f"{record['requests']} requests: {came}")
-        for name in ("first_event_ms", "whole_ms"):
-            click.echo(f"  {name}: " + ", ".join(f"{k} {v:.1f}" for k, v in record[name].items()))
-    if record["came"].get(MALFORMED):
-        raise Missed(f"{record['came'][MALFORMED]} answers were cut or unsigned")
+        _tell_load(record)
+    if broken:
+        raise Missed(broken)
     if record["verdict"] != "measured":
         raise Missed(f"no verdict, {record['verdict']}")
 
 
+def _stream_load(
+    addresses: list[str], rate: float, seconds: float, seed: int
+) -> tuple[dict[str, Any], str | None]:
+    """The record of a load of streamed requests, and which promise it found broken."""
+    from heronstall.lab.tier.load import MALFORMED, OpenLoop
+
+    record = asyncio.run(OpenLoop(addresses, rate, seconds, seed).play())
+    cut = record["came"].get(MALFORMED)
+    return record, f"{cut} answers were cut or unsigned" if cut else None
+
+
+def _batch_load(
+    addresses: list[str], rate: float, seconds: float, seed: int, items: int
+) -> tuple[dict[str, Any], str | None]:
+    """The record of a load of batch jobs, and which promise it found broken."""
+    from heronstall.lab.tier.batch_load import BatchLoop
+
+    record = asyncio.run(BatchLoop(addresses, rate, seconds, seed, items).play())
+    if record["broken"]:
+        return record, record["broken"][0]
+    undone = record["came"].get("not done")
+    return record, f"{undone} accepted jobs were not done in time" if undone else None
+
+
+def _tell_load(record: dict[str, Any]) -> None:
+    """Print what came, and each list of percentiles."""
+    came = ", ".join(f"{count} {name}" for name, count in record["came"].items())
+    sent = f"{record['jobs']} jobs" if "jobs" in record else f"{record['requests']} requests"
+    click.echo(f"{sent}: {came}")
+    for name in [name for name in record if name.endswith("_ms")]:
+        click.echo(f"  {name}: " + ", ".join(f"{k} {v:.1f}" for k, v in record[name].items()))
+
+
 def _tell(step: Step) -> None:
     click.echo(f"{'kept  ' if step.kept else 'BROKEN'} {step.seconds:5.1f} s  {step.name}: {step.promise}")
     for name, value in step.figures.items():
--- a/heronstall/lab/tier/client.py
+++ b/heronstall/lab/tier/client.py
@@ -80,6 +80,31 @@
         return Streamed(answer.status, signature, (begin + await answer.read()).decode(), first)
 
 
+async def submit_at(calls: aiohttp.ClientSession, address: str, job: str, items: int) -> int:
+    """Submit a batch job once to a dispatcher's address; the status."""
+    listed = [
+        {"id": f"{job}-{n}", "path": f"{LOTS}{n}", "headers": {}, "body": "cGF5", "tokens": 10}
+        for n in range(items)
+    ]
+    headers = {"Host": HOST, "Heronstall-Request-Id": job}
+    url = f"http://{address}{LOTS}{job}"
+    async with calls.post(url, headers=headers, json={"requests": listed}) as answer:
+        return answer.status
+
+
+async def read_at(
+    calls: aiohttp.ClientSession, address: str, job: str, start: int = 0, wait_ms: int = 0
+) -> tuple[int, list[dict[str, Any]]]:
+    """Read a job's results from a position on, once: the status, and what was read."""
+    headers = {"Host": HOST}
+    if wait_ms:
+        headers["Heronstall-Wait-Ms"] = str(wait_ms)
+    url = f"http://{address}/-/lots/{job}?start_after={start}"
+    async with calls.get(url, headers=headers) as answer:
+        found: list[dict[str, Any]] = (await answer.json())["results"] if answer.status == 200 else []
+        return answer.status, found
+
+
 class Client:
     """Calls to the nodes of a plan. `close` ends its connections."""
 
@@ -175,21 +200,11 @@
 
     async def submit(self, edge: str, job: str, items: int) -> int:
         """Submit a batch job once; the status."""
-        listed = [
-            {"id": f"{job}-{n}", "path": f"{LOTS}{n}", "headers": {}, "body": "cGF5", "tokens": 10}
-            for n in range(items)
-        ]
-        headers = {"Host": HOST, "Heronstall-Request-Id": job}
-        url = f"http://{edge}:{FRONT}{LOTS}{job}"
-        async with self.calls.post(url, headers=headers, json={"requests": listed}) as answer:
-            return answer.status
+        return await submit_at(self.calls, f"{edge}:{FRONT}", job, items)
 
     async def read(self, edge: str, job: str, start: int = 0) -> tuple[int, list[dict[str, Any]]]:
         """Read a job's results from a position on, once: the status, and what was read."""
-        url = f"http://{edge}:{FRONT}/-/lots/{job}?start_after={start}"
-        async with self.calls.get(url, headers={"Host": HOST}) as answer:
-            found: list[dict[str, Any]] = (await answer.json())["results"] if answer.status == 200 else []
-            return answer.status, found
+        return await read_at(self.calls, f"{edge}:{FRONT}", job, start)
 
     async def read_once(self, edge: str, job: str) -> int:
         """Read a job's results once; the status."""
--- a/heronstall/lab/tier/demo.py
+++ b/heronstall/lab/tier/demo.py
@@ -10,8 +10,8 @@
 
 from heronstall.distribution.shards import batch_shard
 from heronstall.lab.tier.client import HOST, TROUBLES, Streamed, configuration
+from heronstall.lab.tier.promises import Broken, check_results
 from heronstall.lab.tier.tier import LocalTier
-from heronstall.lab.tier.worker import text_of
 
 STREAMS = 40  # requests of one step
 ITEMS = 50  # of a batch job
@@ -20,10 +20,6 @@
 MS = 1000
 
 
-class Broken(AssertionError):
-    """A promise of the tier is broken; the message says which."""
-
-
 @dataclass
 class Step:
     """What was done, what came of it, and figures in milliseconds or counts."""
@@ -176,7 +172,7 @@
         took = _ms(began)
         if any(results != found[0] for results in found):
             raise Broken(f"{job}: dispatchers give different results")
-        _check_results(job, found[0])
+        check_results(job, ITEMS, found[0])
         if self._listed[job] and self._listed[job] != found[0]:
             raise Broken(f"{job}: a position has changed")
         self._listed[job] = found[0]
@@ -195,11 +191,3 @@
     if not answer.whole(name):
         told = f"status {answer.status}, signature {answer.signature!r}, {answer.data[:60]!r}"
         raise Broken(f"stream {name}: {told}")
-
-
-def _check_results(job: str, results: list[dict[str, Any]]) -> None:
-    if {result["id"] for result in results} != {f"{job}-{n}" for n in range(ITEMS)}:
-        raise Broken(f"{job}: items are missing or stand twice")
-    for result in results:
-        if (result["state"], result["text"]) != ("succeeded", text_of(result["id"])):
-            raise Broken(f"{job}: {result['id']} is {result['state']}: {result['text'][:60]!r}")
--- a/tests/tier/test_local_tier.py
+++ b/tests/tier/test_local_tier.py
@@ -19,9 +19,11 @@
 
 from heronstall.config import node_settings
 from heronstall.lab.tier import demo
+from heronstall.lab.tier.batch_load import BatchLoop
 from heronstall.lab.tier.client import HOST, STREAM, Streamed
 from heronstall.lab.tier.load import MALFORMED, OpenLoop, due_times
 from heronstall.lab.tier.plan import PLAN_FILE, Plan, PlanError, Sizes, drawn, keep, kept
+from heronstall.lab.tier.promises import Broken
 from heronstall.lab.tier.worker import text_of
 
 ROOT = Path(__file__).parents[2]
@@ -89,7 +91,7 @@
 
     async def broken(self, text: str, *answers: list[dict[str, Any]]) -> None:
         """As `check`, and it must be found."""
-        with self.assertRaisesRegex(demo.Broken, text):
+        with self.assertRaisesRegex(Broken, text):
             await self.check(*answers)
 
     async def test_what_is_whole_is_taken_again_and_again(self) -> None:
@@ -118,13 +120,13 @@
             Streamed(200, "sig-s", data[:-20], 0.1),
             Streamed(200, "sig-s", data + data[-16:], 0.1),
         ):
-            with self.subTest(wrong), self.assertRaises(demo.Broken):
+            with self.subTest(wrong), self.assertRaises(Broken):
                 demo._check_stream("s", wrong)
 
     async def test_a_step_that_fails_ends_the_demo_and_says_why(self) -> None:
         told: list[demo.Step] = []
         self.demo._told = told.append
-        self.demo._tier.start = mock.AsyncMock(side_effect=demo.Broken("planted"))  # type: ignore[method-assign]
+        self.demo._tier.start = mock.AsyncMock(side_effect=Broken("planted"))  # type: ignore[method-assign]
         await self.demo.play()
         self.assertEqual([(s.name, s.kept, s.why) for s in told], [("start", False, "planted")])
         self.assertFalse(self.demo.report()["kept"])
@@ -163,6 +165,92 @@
         return answers[number % 4]
 
 
+class BatchLoad(unittest.IsolatedAsyncioTestCase):
+    """Batch jobs in open loop against answers that are made up."""
+
+    ITEMS = 3
+    SECONDS = 0.5
+
+    async def asyncSetUp(self) -> None:
+        self.results: dict[str, list[dict[str, Any]]] = {}
+        self.statuses: list[int] = []
+        self.calls: list[str] = []
+        for name, made in (("submit_at", self.submit), ("read_at", self.read)):
+            patch = mock.patch(f"heronstall.lab.tier.batch_load.{name}", made)
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    async def submit(self, _calls: object, address: str, job: str, items: int) -> int:
+        """Answer with the statuses in turn, 202 after them."""
+        self.calls.append(f"{address} {job}")
+        status = self.statuses.pop(0) if self.statuses else 202
+        if status == 202:
+            names = [f"{job}-{n}" for n in range(items)]
+            self.results[job] = [{"id": n, "state": "succeeded", "text": text_of(n)} for n in names]
+        return status
+
+    async def read(
+        self, _calls: object, address: str, job: str, start: int, _wait: int
+    ) -> tuple[int, list[dict[str, Any]]]:
+        """One result a call."""
+        return 200, copy.deepcopy(self.results[job][start : start + 1])
+
+    async def play(self) -> dict[str, Any]:
+        """One run; there is at least one job in it."""
+        loop = BatchLoop(["127.0.0.1:1", "127.0.0.1:2"], 20.0, self.SECONDS, 3, self.ITEMS)
+        record = await loop.play()
+        self.assertGreater(record["jobs"], 1)
+        return record
+
+    async def test_jobs_are_followed_to_their_end(self) -> None:
+        record = await self.play()
+        self.assertEqual((record["came"], record["broken"]), ({"202": record["jobs"]}, []))
+        self.assertEqual(len(self.results), record["jobs"])
+
+    async def test_what_has_no_clear_answer_is_sent_again_elsewhere_and_what_is_refused_is_not(self) -> None:
+        self.statuses = [504]
+        record = await self.play()
+        self.assertEqual(record["came"], {"202": record["jobs"]})
+        first = [call for call in self.calls if call.split()[1] == self.calls[0].split()[1]]
+        self.assertEqual(len({call.split()[0] for call in first}), 2)
+        self.calls.clear()
+        self.statuses = [429] * 100
+        record = await self.play()
+        self.assertEqual(record["came"], {"429": record["jobs"]})
+        self.assertEqual(len(self.calls), record["jobs"])
+
+    async def test_what_breaks_a_promise_is_found(self) -> None:
+        whole = self.read
+
+        async def cut(calls: object, address: str, job: str, start: int, wait: int) -> Any:
+            status, found = await whole(calls, address, job, start, wait)
+            return status, [{**result, "text": result["text"][:-1]} for result in found]
+
+        async def unknown(*_: object) -> Any:
+            return 404, []
+
+        async def twice(calls: object, address: str, job: str, start: int, wait: int) -> Any:
+            return await whole(calls, address, job, 0, wait)
+
+        async def changing(calls: object, address: str, job: str, start: int, wait: int) -> Any:
+            self.results[job].reverse()
+            return 200, copy.deepcopy(self.results[job][start:])
+
+        for planted, told in (
+            (cut, "is succeeded"),
+            (unknown, "not known"),
+            (twice, "stand twice"),
+            (changing, "other results"),
+        ):
+            with (
+                self.subTest(told),
+                mock.patch("heronstall.lab.tier.batch_load.read_at", planted),
+            ):
+                record = await self.play()
+                self.assertEqual(record["came"]["broken"], record["jobs"])
+                self.assertIn(told, record["broken"][0])
+
+
 class CommandLine(InFolder):
     def command(self, *words: str) -> subprocess.CompletedProcess[str]:
         """Run `heronstall tier` to its end."""
@@ -180,6 +268,7 @@
         self.refused("--cores: 2", "up", "--cores", "2")
         self.refused("--pause", "up", "--pause", "-1")
         self.refused("not on loopback", "load", "--to", "10.0.0.1:80")
+        self.refused("--items", "load", "--to", "127.0.0.1:80", "--items", "201")
         self.refused("--rate", "load", "--to", "127.0.0.1:80", "--rate", "0")
         foreign = self.folder / "letter.txt"
         foreign.write_text("mine")
