A failed sync or slot never hides records that were acknowledged later

After a failed fdatasync the records were appended again behind those that the system may have dropped: a hole ends the log, so the second copy, synced and acknowledged, was never read again. 2. A slot whose sync, folder sync or log failed on its last steps had the highest sequence all the same: the node went on with the old log, and a restart took the failed slot and dropped what had been acknowledged since. 3.

Change: a failed sync takes back to the last good one; a slot holds only when its own log stands in the folder; a slot that fails leaves slot, log and descriptor before it in use, and nothing is acknowledged while its log may stand there.

--- a/heronstall/storage/journal.py
+++ b/heronstall/storage/journal.py
@@ -2,10 +2,14 @@
 
 Everything is checksummed. A record is kept once `sync` has returned. The tail of a log that was never
 synced may be cut, torn or full of holes: reading stops at the first record that is not whole.
+
+A slot holds from the moment at which its own log stands in the folder. Until then the slot before it and that
+one's log hold, so that a slot whose writing failed on its last step never hides records that came later.
 """
 
 from __future__ import annotations
 
+import contextlib
 import os
 import struct
 import zlib
@@ -76,7 +80,8 @@
         self._sequence = 0
         self._log: int | None = None
         self._length = 0  # of what is whole in the log
-        self._unsynced = False
+        self._synced = 0  # of that, what a sync has covered
+        self._doubtful = False  # the log of a slot that failed may stand in the folder
 
     @property
     def log_bytes(self) -> int:
@@ -93,15 +98,18 @@
         whole = [decoded for data in slots if data and (decoded := decode_slot(data))]
         if not whole:
             return Recovered(None, (), damaged=any(slots))
-        self._sequence, parts = max(whole)
+        self._sequence, parts = max([s for s in whole if self._log_path(s[0]).exists()] or whole)
         data = self._read(self._log_path(self._sequence)) or b""
         records, self._length = decode_records(data)
-        self._open_log()
+        self._log = self._opened_log(self._sequence, self._length)
+        self._synced = self._length
         return Recovered(parts, tuple(records), damaged=False)
 
     def append(self, payloads: list[bytes]) -> None:
         """Write records. Raises OSError; the log is then as it was before."""
         assert self._log is not None
+        if self._doubtful:
+            self._withdraw(self._sequence + 1)
         data = b"".join(map(encode_record, payloads))
         try:
             written = 0
@@ -111,17 +119,47 @@
             os.ftruncate(self._log, self._length)
             raise
         self._length += len(data)
-        self._unsynced = True
 
     def sync(self) -> None:
-        """Wait until all records are on the disk."""
-        if self._unsynced and self._log is not None:
+        """Wait until all records are on the disk.
+
+        Raises OSError; all records since the last sync are then taken back, and are to be appended again.
+        Another sync would not do: the system may have dropped what it could not write, and not say so twice.
+        """
+        if self._synced == self._length or self._log is None:
+            return
+        try:
             os.fdatasync(self._log)
-            self._unsynced = False
+        except OSError:
+            self._length = self._synced
+            os.ftruncate(self._log, self._length)
+            raise
+        self._synced = self._length
 
     def write_slot(self, parts: list[bytes]) -> None:
-        """Write an image that replaces all before it, and begin a new log. Raises OSError."""
+        """Write an image that replaces all before it, and begin a new log.
+
+        Raises OSError; the slot and the log before it then hold on.
+        """
         following = self._sequence + 1
+        self._write_image(following, parts)
+        self._doubtful = True
+        try:
+            log = self._opened_log(following, 0)
+        except OSError:
+            with contextlib.suppress(OSError):
+                self._withdraw(following)
+            raise
+        self._doubtful = False
+        former, former_log = self._sequence, self._log
+        self._sequence, self._log = following, log
+        self._length = self._synced = 0
+        if former_log is not None:
+            os.close(former_log)
+        with contextlib.suppress(OSError):
+            self._log_path(former).unlink(missing_ok=True)
+
+    def _write_image(self, following: int, parts: list[bytes]) -> None:
         descriptor = os.open(self._slot(following % 2), os.O_CREAT | os.O_WRONLY | os.O_TRUNC, 0o644)
         try:
             data = encode_slot(following, parts)
@@ -132,19 +170,24 @@
         finally:
             os.close(descriptor)
         self._sync_folder()
-        former = self._sequence
-        self._sequence, self._length = following, 0
-        if self._log is not None:
-            os.close(self._log)
-        self._open_log()
-        self._log_path(former).unlink(missing_ok=True)
-
-    def _open_log(self) -> None:
-        self._log = os.open(self._log_path(self._sequence), os.O_CREAT | os.O_RDWR, 0o644)
-        os.ftruncate(self._log, self._length)
-        os.fsync(self._log)
+
+    def _opened_log(self, sequence: int, length: int) -> int:
+        """The descriptor of a log of so many bytes that stands in the folder for good."""
+        descriptor = os.open(self._log_path(sequence), os.O_CREAT | os.O_RDWR, 0o644)
+        try:
+            os.ftruncate(descriptor, length)
+            os.fsync(descriptor)
+            self._sync_folder()
+        except OSError:
+            os.close(descriptor)
+            raise
+        return descriptor
+
+    def _withdraw(self, sequence: int) -> None:
+        """Make sure that the slot whose writing failed does not hold. Raises OSError."""
+        self._log_path(sequence).unlink(missing_ok=True)
         self._sync_folder()
-        self._unsynced = False
+        self._doubtful = False
 
     def _sync_folder(self) -> None:
         descriptor = os.open(self._folder, os.O_RDONLY)
