A repeated DELETE is acknowledged; sessions are told while a commit hangs

Cause, both found by reading. 1. ControlApi._leave looked a worker up among those that serve: one that had left or fallen silent was held by no shard, and unless one node led both shards the call was sent from leader to leader (callers follow two 307): a worker whose first acknowledgement was lost never got one, and a silent worker's DELETE left nothing that keeps a late heartbeat from bringing it back. 2. Core._chores told sessions and took memberships forward in one loop with commits of up to 2.5 s each; other core nodes take 3 s of silence for the end of the nodes that this one serves, and would move batch shards.

Change: a shard knows also whom it lost lately; an unknown worker's DELETE is acknowledged by a node in touch. Sessions and memberships have a loop of their own.

--- a/heronstall/controlplane/api.py
+++ b/heronstall/controlplane/api.py
@@ -16,7 +16,7 @@
 from heronstall.controlplane.state import worker_shard
 from heronstall.controlplane.state.config_shard import Command, StoreStage, command
 from heronstall.controlplane.state.documents import ConfigFault, Document, Fault, canonical, read_object
-from heronstall.distribution.shards import BATCH_SHARDS, CONFIG, WORKER_SHARDS
+from heronstall.distribution.shards import BATCH_SHARDS, CONFIG
 from heronstall.distribution.shards import worker_shard as shard_of
 from heronstall.transport.messages import ConfigChange, StoreNode, Worker
 
@@ -163,13 +163,15 @@
         return answer(200, {"heartbeat_url": self._core.settings.listen["control"]})
 
     async def _leave(self, request: web.BaseRequest, worker: str) -> web.StreamResponse:
-        held = [name for name, shard in self._core.workers.items() if worker in shard.workers]
-        groups = held or list(WORKER_SHARDS)
-        for group in groups:
+        """A worker ends. One that no shard knows was never told of: there is nothing to take back."""
+        held = [name for name, shard in self._core.workers.items() if shard.knows(worker)]
+        if not held and not self._core.fresh():
+            return unsure("out of touch with the leaders")
+        for group in held:
             if not self._core.leads(group):
                 return self._elsewhere(group, request)
             gone = worker_shard.remove(worker_shard.Command.REMOVE, worker)
-            news = held and not self._core.workers[group].is_gone(worker)
+            news = not self._core.workers[group].is_gone(worker)
             if news and await self._core.commit(group, gone) is None:
                 return unsure("not known to be kept")
         return answer(200)
--- a/heronstall/controlplane/core.py
+++ b/heronstall/controlplane/core.py
@@ -68,7 +68,7 @@
             forms = self.settings.bootstrap and self.address in seeds and group not in known
             if forms and self.host.me.endswith("#0"):
                 hosted.replica.form(self.host.now(), tuple(sorted(f"{s}#0" for s in seeds)))
-        await self._begin(self._chores())
+        await self._begin(self._stay_in_touch(), self._chores())
 
     # ------------------------------------------------------------------ what the interface asks
 
@@ -124,7 +124,7 @@
         versions = {v.shard: v.version for v in request.versions}
         deadline = self.host.now() + request.wait_ms / 1000
         while True:
-            if not self._fresh():
+            if not self.fresh():
                 return Reply(Status.UNSURE)
             news = self._news_since(versions)
             left = deadline - self.host.now()
@@ -140,7 +140,8 @@
             except TimeoutError:
                 continue
 
-    def _fresh(self) -> bool:
+    def fresh(self) -> bool:
+        """Whether this node has heard of each group's leader lately, so that its views may be told."""
         now = self.host.now()
         return all(h.replica.in_touch(now, FRESH) for h in self.host.groups.values())
 
@@ -182,12 +183,18 @@
 
     # ------------------------------------------------------------------ chores
 
-    async def _chores(self) -> None:
+    async def _stay_in_touch(self) -> None:
+        """Memberships and sessions, which must not wait for a commit: others take silence for an end."""
         while True:
             await asyncio.sleep(CHORES)
-            started = time.monotonic()
             self._members()
             self._gossip()
+
+    async def _chores(self) -> None:
+        """What leaders do; each commit may take seconds on a slow disk."""
+        while True:
+            await asyncio.sleep(CHORES)
+            started = time.monotonic()
             try:
                 await self._expire_workers()
                 if self.leads(CONFIG):
@@ -201,7 +208,7 @@
 
     def _members(self) -> None:
         now = self.host.now()
-        if not self._fresh():
+        if not self.fresh():
             self._read_seeds(now)
         seeds = [f"{seed}#" for seed in self.settings.seed_addresses]
         for hosted in self.host.groups.values():
--- a/heronstall/controlplane/state/worker_shard.py
+++ b/heronstall/controlplane/state/worker_shard.py
@@ -65,6 +65,10 @@
             if not change.removed:
                 self.workers[change.worker.id] = change.worker
 
+    def knows(self, worker: str) -> bool:
+        """Whether a worker is or was here lately: it serves, is silent, or has left."""
+        return worker in self._changed_at
+
     def is_gone(self, worker: str) -> bool:
         """Whether a worker has said that it ends; its identity never returns."""
         at = self._changed_at.get(worker)
--- a/tests/tier/test_control.py
+++ b/tests/tier/test_control.py
@@ -2,20 +2,25 @@
 
 from __future__ import annotations
 
+import asyncio
 import copy
 import random
 import unittest
 from collections import Counter
 from typing import Any
+from unittest import mock
 
 import ujson
 from result import Err, Ok
 
+from heronstall.controlplane.api import ControlApi
+from heronstall.controlplane.core import Core
 from heronstall.controlplane.state import config_shard, worker_shard
 from heronstall.controlplane.state.config_shard import ConfigShard
 from heronstall.controlplane.state.documents import ConfigFault, canonical, read_object
 from heronstall.controlplane.state.operator_config import checked, patched
 from heronstall.controlplane.state.worker_shard import REMOVED_KEPT, WorkerShard
+from heronstall.distribution.shards import WORKER_SHARDS
 from heronstall.distribution.view import View
 from heronstall.ownership.placement import Candidate, first_placement, repaired
 from heronstall.sessions.loads import WorkerLoad, pack, unpack
@@ -192,6 +197,84 @@
         self.assertTrue(other.is_gone("b"))
 
 
+class Leaving(unittest.IsolatedAsyncioTestCase):
+    """DELETE by workers at a core node that leads one of the two registry shards."""
+
+    LED, OTHER = WORKER_SHARDS
+
+    def setUp(self) -> None:
+        self.shards = {name: WorkerShard() for name in WORKER_SHARDS}
+        self.committed: list[tuple[str, bytes]] = []
+        self.index = 0
+        self.core = mock.Mock(workers=self.shards, heard={})
+        self.core.settings.listen = {"control": "10.0.0.1:8166"}
+        self.core.leads = lambda group: group == self.LED
+        self.core.leader_address = lambda group: "10.0.0.2:7720"
+        self.core.fresh = lambda: True
+        self.core.commit = self.commit
+        self.api = ControlApi(self.core)
+
+    async def commit(self, group: str, data: bytes) -> bool:
+        """Commit at once."""
+        self.committed.append((group, data))
+        return self.apply(group, data)
+
+    def apply(self, group: str, data: bytes) -> bool:
+        """A command of a group's log."""
+        self.index += 1
+        return self.shards[group].apply(self.index, data)
+
+    async def leave(self, worker: str) -> int:
+        """The status of a worker's last call."""
+        request = mock.Mock(raw_path=f"/-/instances/{worker}")
+        return (await self.api._leave(request, worker)).status
+
+    async def test_the_last_call_may_come_again(self) -> None:
+        self.apply(self.LED, worker_shard.put(Worker(id="w", service="s", state="draining")))
+        self.assertEqual([await self.leave("w"), await self.leave("w")], [200, 200])
+        self.assertEqual(len(self.committed), 1)
+        self.assertTrue(self.shards[self.LED].is_gone("w"))
+
+    async def test_a_call_for_the_other_shard_goes_to_its_leader_also_when_it_comes_again(self) -> None:
+        self.apply(self.OTHER, worker_shard.put(Worker(id="w", service="s", state="draining")))
+        self.assertEqual(await self.leave("w"), 307)
+        self.apply(self.OTHER, worker_shard.remove(worker_shard.Command.REMOVE, "w"))
+        self.assertEqual(await self.leave("w"), 307)
+
+    async def test_a_silent_worker_that_leaves_never_returns(self) -> None:
+        self.apply(self.LED, worker_shard.put(Worker(id="w", service="s", state="ready")))
+        self.apply(self.LED, worker_shard.remove(worker_shard.Command.EXPIRE, "w"))
+        self.assertEqual(await self.leave("w"), 200)
+        self.assertFalse(self.apply(self.LED, worker_shard.put(Worker(id="w", service="s", state="ready"))))
+
+    async def test_who_was_never_known_is_sent_round_to_nobody(self) -> None:
+        self.assertEqual(await self.leave("unknown"), 200)
+        self.core.fresh = lambda: False
+        self.assertEqual(await self.leave("unknown"), 503)
+        self.assertEqual(self.committed, [])
+
+
+class SlowCommits(unittest.IsolatedAsyncioTestCase):
+    async def test_sessions_are_told_while_a_commit_hangs(self) -> None:
+        core = Core.__new__(Core)
+        told, never = mock.Mock(), asyncio.Event()
+        core._members, core._gossip = mock.Mock(), told  # type: ignore[method-assign]
+        core._expire_workers = never.wait  # type: ignore[method-assign,assignment]
+        turns = asyncio.sleep
+
+        async def at_once(_seconds: float) -> None:
+            await turns(0)
+
+        with mock.patch("asyncio.sleep", at_once):
+            tasks = [asyncio.create_task(run) for run in (core._stay_in_touch(), core._chores())]
+            for _ in range(20):
+                await turns(0)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.assertGreater(told.call_count, 5)
+
+
 class Pulling(unittest.TestCase):
     def test_no_version_goes_back(self) -> None:
         view = View()
