heronstall ctl status: nodes, owners, services, and what needs attention

An operator could see a running tier only by its logs. The command asks one core node for the control state, then every core node and batch replica that it names, by the internal protocol as it is: a pull as no dispatcher, and a read of a job without a name, which the owner alone knows not to exist. Nothing in the tier changes by it, and none of the tier's programs changed.

heronstall/overview: state.py judges (free of I/O), ask.py asks.

--- a/heronstall/cli/ctl.py
+++ b/heronstall/cli/ctl.py
@@ -4,13 +4,16 @@
 
 import json
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import click
 
 from heronstall.cli.common import BadInput, Missed
 from heronstall.controlplane.client import ControlAnswer, ControlClient, NoAnswer
 
+if TYPE_CHECKING:
+    from heronstall.overview.state import Overview
+
 CONTROL = click.option(
     "--control",
     "addresses",
@@ -27,6 +30,63 @@
     """Give orders to a running tier: its configuration, its storage nodes."""
 
 
+@ctl.command("status")
+@click.option(
+    "--node",
+    "addresses",
+    multiple=True,
+    required=True,
+    help="IP:PORT of a core node for messages between nodes (its first of port_range); may come again.",
+)
+@JSON
+def status(addresses: tuple[str, ...], as_json: bool) -> None:
+    """Show nodes, owners of batch shards, services and the configuration in force.
+
+    Exit 1 where something needs attention: it is listed last.
+
+    Example: heronstall ctl status --node 10.1.0.13:7720 --node 10.2.0.43:7720
+    """
+    import asyncio
+
+    from heronstall.overview.ask import NoNode, overview
+
+    for address in addresses:
+        if not _is_address(address):
+            raise BadInput(f"--node {address}: IP:PORT is wanted")
+    try:
+        found = asyncio.run(overview(addresses))
+    except NoNode as error:
+        raise Missed(f"no core node in touch answers at {error}") from None
+    if as_json:
+        click.echo(json.dumps(found.record()))
+    else:
+        _show(found)
+    problems = found.problems()
+    if problems:
+        raise Missed("; ".join(problems))
+
+
+def _show(found: Overview) -> None:
+    """Print an overview, a line a node, shard or service."""
+    click.echo(f"configuration  revision {found.revision}, {found.dispatchers} dispatchers with a session")
+    for node in found.control:
+        versions = ", ".join(f"{name} {version}" for name, version in sorted(node.versions.items()))
+        click.echo(f"core node      {node.address}: {node.state.value}  {versions}".rstrip())
+    for shard in found.batch:
+        for replica in shard.replicas:
+            role = "owner" if replica.owner else replica.state.value
+            click.echo(f"{shard.shard:<14} {replica.replica}: {role}")
+    for service in found.services:
+        ready = f"{service.ready} ready workers with {service.capacity} places"
+        others = f"{service.draining} draining, {service.routes} routes"
+        click.echo(f"service        {service.service}: {ready}, {others}")
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    return bool(host) and port.isdigit() and 0 < int(port) < 65536
+
+
 @ctl.group("config")
 def config() -> None:
     """Check, show and change the configuration."""
@@ -34,7 +94,7 @@
 
 def _call(addresses: tuple[str, ...], within: float, *order: Any) -> ControlAnswer:
     for address in addresses:
-        if not address.rpartition(":")[2].isdigit():
+        if not _is_address(address):
             raise BadInput(f"--control {address}: HOST:PORT is wanted")
     try:
         return ControlClient(addresses, within).call(*order)
--- /dev/null
+++ b/heronstall/overview/state.py
@@ -0,0 +1,149 @@
+"""The state of a tier as its nodes tell it, and what is wrong with it. Free of I/O."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import asdict, dataclass, field
+from enum import Enum
+from typing import Any
+
+
+class NodeState(Enum):
+    """How a node answers."""
+
+    FINE = "fine"
+    OUT_OF_TOUCH = "out of touch"  # it has not heard of a leader lately and tells nothing
+    SILENT = "silent"
+
+
+@dataclass
+class ControlNode:
+    """A core node and the versions that it would give to dispatchers."""
+
+    address: str
+    state: NodeState
+    versions: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass
+class ReplicaView:
+    """A replica of a batch shard; `owner` by its own word."""
+
+    replica: str
+    state: NodeState
+    owner: bool = False
+
+
+@dataclass
+class BatchShardView:
+    """A batch shard and its replicas."""
+
+    shard: str
+    replicas: list[ReplicaView]
+
+
+@dataclass
+class ServiceView:
+    """The workers of a service, by their state."""
+
+    service: str
+    ready: int = 0
+    draining: int = 0
+    capacity: int = 0  # of those that are ready
+    routes: int = 0
+
+
+@dataclass
+class Overview:
+    """All that was told."""
+
+    revision: int = 0
+    dispatchers: int = 0
+    control: list[ControlNode] = field(default_factory=list)
+    batch: list[BatchShardView] = field(default_factory=list)
+    services: list[ServiceView] = field(default_factory=list)
+
+    def problems(self) -> list[str]:
+        """What needs somebody's attention, the gravest first."""
+        return [
+            *self._control_problems(),
+            *(text for shard in self.batch for text in _shard_problems(shard)),
+            *(text for service in self.services for text in _service_problems(service)),
+        ]
+
+    def _control_problems(self) -> list[str]:
+        found = []
+        fine = sum(node.state is NodeState.FINE for node in self.control)
+        if 2 * fine <= len(self.control):
+            found.append(f"{fine} of {len(self.control)} core nodes are in touch: no majority")
+        found += [
+            f"core node {node.address} is {node.state.value}"
+            for node in self.control
+            if node.state is not NodeState.FINE
+        ]
+        if not self.revision:
+            found.append("no configuration is in force")
+        if not self.dispatchers:
+            found.append("no dispatcher has a session")
+        return found
+
+    def record(self) -> dict[str, Any]:
+        """For machines."""
+        plain: dict[str, Any] = _plain(asdict(self))
+        return {**plain, "problems": self.problems()}
+
+
+def _shard_problems(shard: BatchShardView) -> list[str]:
+    owners = [replica.replica for replica in shard.replicas if replica.owner]
+    found = []
+    if not shard.replicas:
+        found.append(f"{shard.shard} has no replicas")
+    elif not owners:
+        found.append(f"{shard.shard} has no owner")
+    elif len(owners) > 1:
+        found.append(f"{shard.shard}: {', '.join(owners)} say that they own it")
+    found += [
+        f"{shard.shard}: replica {replica.replica} is {replica.state.value}"
+        for replica in shard.replicas
+        if replica.state is not NodeState.FINE
+    ]
+    return found
+
+
+def _service_problems(service: ServiceView) -> list[str]:
+    if service.routes and not service.ready:
+        return [f"service {service.service} has {service.routes} routes and no ready worker"]
+    return []
+
+
+def services_of(document: dict[str, Any], workers: Iterable[tuple[str, str, int]]) -> list[ServiceView]:
+    """The services that routes name or workers tell: of each worker its service, state and capacity."""
+    found: dict[str, ServiceView] = {}
+    for name, count in _routes_of(document).items():
+        found[name] = ServiceView(name, routes=count)
+    for service, state, capacity in workers:
+        view = found.setdefault(service, ServiceView(service))
+        if state == "ready":
+            view.ready += 1
+            view.capacity += capacity
+        else:
+            view.draining += 1
+    return sorted(found.values(), key=lambda view: view.service)
+
+
+def _routes_of(document: dict[str, Any]) -> Counter[str]:
+    counted: Counter[str] = Counter()
+    for route in document.get("routes", []):
+        parts = route.get("traffic_split") or [{"service": route.get("service"), "weight": 1}]
+        counted.update({str(part["service"]) for part in parts if part.get("service")})
+    return counted
+
+
+def _plain(value: Any) -> Any:
+    """Enums as their values, all through a value."""
+    if isinstance(value, dict):
+        return {key: _plain(inner) for key, inner in value.items()}
+    if isinstance(value, list):
+        return [_plain(inner) for inner in value]
+    return value.value if isinstance(value, Enum) else value
--- a/tests/tier/test_processes.py
+++ b/tests/tier/test_processes.py
@@ -7,10 +7,11 @@
 from pathlib import Path
 
 from heronstall.distribution.shards import batch_shard
-from heronstall.lab.tier.client import HOST, configuration
-from heronstall.lab.tier.plan import drawn
+from heronstall.lab.tier.client import HOST, SERVICE, configuration
+from heronstall.lab.tier.plan import INTERNAL, drawn
 from heronstall.lab.tier.tier import LocalTier
 from heronstall.lab.tier.worker import text_of
+from heronstall.overview.ask import overview
 
 ITEMS = 6
 
@@ -45,6 +46,11 @@
         self.assert_whole("job", results)
         self.assertEqual(await self.tier.client.results(first, "job", ITEMS), results)
         self.assertEqual(await self.tier.client.read_once(first, "none"), 404)
+        seen = await overview([f"{self.tier.plan.cores[0]}:{INTERNAL}"])
+        self.assertEqual(seen.problems(), [])
+        self.assertEqual((seen.revision, seen.dispatchers, len(seen.control)), (2, 2, 3))
+        self.assertEqual([len(shard.replicas) for shard in seen.batch], [3, 3])
+        self.assertEqual([(s.service, s.ready, s.routes) for s in seen.services], [(SERVICE, 1, 2)])
 
     async def test_racing_and_repeated_changes(self) -> None:
         self.assertEqual(await self.tier.client.configure(configuration(2), 0), 200)  # taken before
