--- a/tests/tier/test_overview.py
+++ b/tests/tier/test_overview.py
@@ -1,4 +1,4 @@
-"""What `heronstall ctl status` sees: nodes of our own that answer by the internal protocol, and the judgement."""
+"""What `heronstall ctl status` sees of nodes of our own that answer by the internal protocol."""
 
 from __future__ import annotations
 
