--- /dev/null
+++ b/tests/tier/test_registry_orders.py
@@ -0,0 +1,36 @@
+"""A worker's calls to the registry in all orders, and planted mistakes."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from heronstall.controlplane.state.worker_shard import WorkerShard
+from tests.tier.registry_model import Bounds, Broken, explore
+
+STATES = 4_000
+
+
+class Registry(unittest.TestCase):
+    def test_what_is_acknowledged_holds_in_all_orders_of_calls_and_leaders(self) -> None:
+        self.assertGreater(explore(Bounds(calls=3, silences=0), STATES), 150)
+
+    def test_a_silent_worker_that_drained_is_not_ready_again_by_a_late_heartbeat(self) -> None:
+        self.assertGreater(explore(Bounds(calls=3, leaders=0), STATES), 100)
+
+    def test_a_worker_that_left_before_it_was_known_is_not_told_by_a_late_heartbeat(self) -> None:
+        bounds = Bounds(calls=2, silences=0, leaders=0, registered=False)
+        self.assertGreater(explore(bounds, STATES), 50)
+
+    def test_planted_mistakes_are_found(self) -> None:
+        for name in ("is_gone", "knows"):
+            with (
+                self.subTest(name),
+                mock.patch.object(WorkerShard, name, return_value=False),
+                self.assertRaises(Broken),
+            ):
+                explore(Bounds(calls=4, silences=0, leaders=0), STATES)
+
+
+if __name__ == "__main__":
+    unittest.main()
