Plain names in the lab: manual requests, standalone, peered, supervised

Modules and classes were named after pictures (hands, doors, kept, between). The names of the deployed dispatcher's admin endpoint are another concept and stay for now.

--- a/benchmarks/cold_start.py
+++ b/benchmarks/cold_start.py
@@ -35,9 +35,9 @@
 from heronstall.fleet import boundary as b
 from heronstall.fleet.desk import Desk
 from heronstall.lab.nodes import DEFAULT, Nodes
+from heronstall.lab.peered import PeeredNodes
 from heronstall.lab.run import Run
 from heronstall.lab.starts import obeyed as obeyed_after
-from heronstall.lab.talking import TalkingNodes
 from heronstall.membership.messages import Duty
 from heronstall.model.mesh import Watched
 from tests.talks import CRASH, Talk
@@ -230,7 +230,7 @@
         with tempfile.TemporaryDirectory(prefix="heronstall-cold-") as folder:
             settings = Path(folder) / "operator.json"
             settings.write_text('{"log": {"format": "logfmt"}}')
-            nodes = TalkingNodes if peers else Nodes
+            nodes = PeeredNodes if peers else Nodes
             program = DEFAULT if ready is None else late_yes(ready)
             run = Run(scenario, seed, Path(folder), program, settings=settings, nodes=nodes)
             record = asyncio.run(run.run())
--- a/benchmarks/kills.py
+++ b/benchmarks/kills.py
@@ -20,7 +20,7 @@
 from dataclasses import dataclass, field
 
 from heronstall.fleet.spec import SECOND, Trouble
-from heronstall.lab.hands import Handed
+from heronstall.lab.manual_requests import ManualAttempt
 from tests.losses import GROWN, Loss, scene
 
 CLASSES = ("unsafe", "keyed", "safe")
@@ -35,7 +35,7 @@
 
     number: int
     cls: str
-    tries: list[Handed] = field(default_factory=list)
+    tries: list[ManualAttempt] = field(default_factory=list)
 
 
 @dataclass
@@ -51,14 +51,14 @@
 
 
 async def client(loss: Loss, job: Job, up: set[int], draw: random.Random) -> None:
-    """Hand a job in until it is answered, or its time is up."""
+    """Send a job until it is answered, or its time is up."""
     loop = asyncio.get_running_loop()
     until = loop.time() + PATIENCE
     node, nth = draw.choice(sorted(up)), 0
     while until - loop.time() > 0.2:
-        handed = await loss.hands.hand(job.number, node, nth, left=until - loop.time())
-        job.tries.append(handed)
-        if handed.status not in (0, 503):
+        attempt = await loss.manual.attempt(job.number, node, nth, left=until - loop.time())
+        job.tries.append(attempt)
+        if attempt.status not in (0, 503):
             return
         node, nth = draw.choice(sorted(up - {node}) or sorted(up)), nth + 1
         await asyncio.sleep(0.05)
@@ -77,7 +77,7 @@
         async def feed() -> None:
             while feeding:
                 cls = draw.choice(CLASSES)
-                jobs.append(Job(loss.hands.job(cls), cls))
+                jobs.append(Job(loss.manual.job(cls), cls))
                 tasks.append(asyncio.create_task(client(loss, jobs[-1], up, draw)))
                 await asyncio.sleep(draw.expovariate(rate))
 
--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -30,8 +30,8 @@
 from heronstall.knowledge.book import Book
 from heronstall.knowledge.sights import Witness, Word, pack, unpack
 from heronstall.lab.nodes import Nodes
+from heronstall.lab.peered import PeeredNodes
 from heronstall.lab.run import Run as LabRun
-from heronstall.lab.talking import TalkingNodes
 from heronstall.model.run import Run as ModelRun
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -70,7 +70,7 @@
         if arm in ("snapshot", "both"):
             told["snapshot"] = {"dir": folder}
         settings.write_text(json.dumps(told))
-        nodes = TalkingNodes if arm in ("peers", "both") else Nodes
+        nodes = PeeredNodes if arm in ("peers", "both") else Nodes
         run = LabRun(scenario(24, RATE), seed, Path(folder), settings=settings, nodes=nodes)
         record = asyncio.run(run.run())
     return lost(record), record["verdict"] != "measured"
--- a/benchmarks/rollouts.py
+++ b/benchmarks/rollouts.py
@@ -202,19 +202,19 @@
 
 async def _carry(scenario: Scenario, seed: int, kind: str, keepers: int, tree: Path) -> dict[str, Any]:
     """One rollout of real processes; `tree` is the other revision's."""
-    from heronstall.lab.kept import KeptNodes, Rollout
     from heronstall.lab.run import Run
+    from heronstall.lab.supervised import Rollout, SupervisedNodes
 
     with tempfile.TemporaryDirectory(prefix="heronstall-rollout-") as name:
         folder = Path(name)
-        run = Run(scenario, seed, folder, nodes=functools.partial(KeptNodes, keepers=keepers))
+        run = Run(scenario, seed, folder, nodes=functools.partial(SupervisedNodes, keepers=keepers))
         task = asyncio.create_task(run.run())
         began = asyncio.create_task(run.began.wait())
         await asyncio.wait([task, began], return_when=asyncio.FIRST_COMPLETED)
         if task.done():
             task.result()
         nodes = run.nodes
-        assert isinstance(nodes, KeptNodes)
+        assert isinstance(nodes, SupervisedNodes)
         if kind == "revisions":
             new = nodes.release("new", ("-B", "-m", "heronstall"), tree)
         elif kind == "bad":
--- a/benchmarks/takeover.py
+++ b/benchmarks/takeover.py
@@ -21,9 +21,9 @@
 from collections import Counter
 from concurrent.futures import ProcessPoolExecutor
 
-from heronstall.lab.hands import Handed
+from heronstall.lab.manual_requests import ManualAttempt
 from heronstall.lab.nodes import Nodes
-from heronstall.lab.talking import TalkingNodes
+from heronstall.lab.peered import PeeredNodes
 from tests.explore import begun, crashes, held, owner, steps, takes_over, wander
 from tests.losses import Loss, later, scene, statuses
 
@@ -33,14 +33,14 @@
     async with Loss(scene(1500), takeover=not off) as loss:
         await loss.wait(lambda: loss.run.time.now > 7_200_000)
         loop = asyncio.get_running_loop()
-        numbers = {cls: [loss.hands.job(cls) for _ in range(jobs // 2)] for cls in ("unsafe", "keyed")}
-        first = [loss.hands.begin(n, 0) for some in numbers.values() for n in some]
-        await asyncio.gather(*(h.sent.wait() for h in loss.hands.tries))
+        numbers = {cls: [loss.manual.job(cls) for _ in range(jobs // 2)] for cls in ("unsafe", "keyed")}
+        first = [loss.manual.begin(n, 0) for some in numbers.values() for n in some]
+        await asyncio.gather(*(h.sent.wait() for h in loss.manual.tries))
         await asyncio.sleep(0.4)
         loss.kill(0)
         killed = loop.time()
         lost = [h for h in await asyncio.gather(*first) if not h.status]
-        back: dict[str, list[Handed]] = {}
+        back: dict[str, list[ManualAttempt]] = {}
         for cls, some in numbers.items():
             back[cls] = await asyncio.gather(*(later(loss, n, 1 + n % 2) for n in some))
         told = []
@@ -56,8 +56,8 @@
 
 ARMS: dict[str, tuple[bool, type[Nodes]]] = {
     "alone": (False, Nodes),
-    "that talk": (False, TalkingNodes),
-    "with takeover": (True, TalkingNodes),
+    "that talk": (False, PeeredNodes),
+    "with takeover": (True, PeeredNodes),
 }
 
 
@@ -73,7 +73,9 @@
         took = []
         for n in range(jobs):
             took.append(
-                (await loss.hands.hand(loss.hands.job(("unsafe", "keyed", "safe")[n % 3]), n // 3 % 3)).took
+                (
+                    await loss.manual.attempt(loss.manual.job(("unsafe", "keyed", "safe")[n % 3]), n // 3 % 3)
+                ).took
                 * 1000
             )
         for node in nodes:
--- a/heronstall/cli/lab.py
+++ b/heronstall/cli/lab.py
@@ -31,10 +31,10 @@
     """One run, with a live table on a terminal. Raises BadInput or Missed."""
     from heronstall.cli.live import LiveTable
     from heronstall.lab.nodes import DEFAULT, LabError, Nodes
+    from heronstall.lab.peered import PeeredNodes
     from heronstall.lab.run import play as run
-    from heronstall.lab.talking import TalkingNodes
 
-    nodes = TalkingNodes if talk else Nodes
+    nodes = PeeredNodes if talk else Nodes
     try:
         with LiveTable(made, quiet or not sys.stderr.isatty()) as table:
             return run(made, seed, folder, program or DEFAULT, table.show, settings, nodes)
@@ -100,7 +100,7 @@
 
     Example: heronstall lab load scenarios/calm.cue --to 127.0.0.1:8081 --seconds 10
     """
-    from heronstall.lab.alone import send
+    from heronstall.lab.standalone import send
 
     made = read_scenario(scenario, seconds)
     addresses = [loopback_address(text) for text in targets.split(",")]
--- a/heronstall/lab/hands.py
+++ b/heronstall/lab/manual_requests.py
@@ -1,4 +1,4 @@
-"""Jobs handed in one by one beside a run's traffic: clients whose every answer is kept.
+"""Jobs sent one by one beside a run's traffic: clients whose every answer is kept.
 
 They use requests of the run's plan that its own clients never come to, since a server takes only ids that a
 client has sent; what the servers have read of a job is in the run's crossings.
@@ -16,7 +16,7 @@
 
 
 @dataclass
-class Handed:
+class ManualAttempt:
     """One try of a job: what its client got. `status` 0: no answer, the connection broke or time was up."""
 
     number: int
@@ -29,27 +29,27 @@
     sent: asyncio.Event = field(default_factory=asyncio.Event)
 
 
-class Hands:
-    """Hands in jobs of one run."""
+class ManualClient:
+    """ManualClient in jobs of one run."""
 
     def __init__(self, run: Run, first: int) -> None:
         self._run = run
         self._next = {n: first for n in range(len(run.scenario.classes))}
-        self.tries: list[Handed] = []
+        self.tries: list[ManualAttempt] = []
 
     def job(self, cls: str) -> int:
-        """A job of a class that nobody has handed in."""
+        """A job of a class that nobody has sent."""
         of = next(n for n, c in enumerate(self._run.scenario.classes) if c.name == cls)
         requests = self._run.plan.requests
         number = next(n for n in range(self._next[of], len(requests)) if requests[n].cls == of)
         self._next[of] = number + 1
         return number
 
-    async def hand(
+    async def attempt(
         self, number: int, node: int, nth: int = 0, left: float = 5.0, body: bytes = b"", key: str = ""
-    ) -> Handed:
+    ) -> ManualAttempt:
         """One try, to its end."""
-        made = Handed(number, nth, node)
+        made = ManualAttempt(number, nth, node)
         self.tries.append(made)
         loop = asyncio.get_running_loop()
         began = loop.time()
@@ -88,6 +88,6 @@
                     writer.close()
         return made
 
-    def begin(self, number: int, node: int, nth: int = 0, **more: object) -> asyncio.Task[Handed]:
+    def begin(self, number: int, node: int, nth: int = 0, **more: object) -> asyncio.Task[ManualAttempt]:
         """The same, in the background."""
-        return asyncio.create_task(self.hand(number, node, nth, **more))  # type: ignore[arg-type]
+        return asyncio.create_task(self.attempt(number, node, nth, **more))  # type: ignore[arg-type]
--- a/heronstall/lab/talking.py
+++ b/heronstall/lab/peered.py
@@ -1,4 +1,4 @@
-"""Dispatchers of a run that talk with each other, and what may stand between them."""
+"""Dispatchers of a run that exchange messages with each other, and proxies between them for faults."""
 
 from __future__ import annotations
 
@@ -18,13 +18,15 @@
 BACKLOG = 128
 
 
-class Door(Datagrams):
-    """Stands where the others believe a dispatcher to be, for datagrams and connections alike, and knows by
-    the address that something comes from whose it is."""
+class PeerProxy(Datagrams):
+    """A proxy in front of one dispatcher, at the address that the others know, for datagrams and connections.
 
-    def __init__(self, node: Node, between: Between) -> None:
+    It tells the sender by the source address.
+    """
+
+    def __init__(self, node: Node, network: PeerNetwork) -> None:
         super().__init__((node.host, PEERS_PORT), node.number)
-        self._number, self._between = node.number, between
+        self._number, self._network = node.number, network
         self._sock = socket.create_server(("127.0.0.1", 0), backlog=BACKLOG)
         self._sock.setblocking(False)
         self.address: tuple[str, int] = self._sock.getsockname()
@@ -35,10 +37,10 @@
         await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, local_addr=self.address)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """One has come from a dispatcher; answers go to that one's own door."""
-        sender = self._between.whose.get(addr[0])
+        """One has come from a dispatcher; answers go to that one's own proxy."""
+        sender = self._network.whose.get(addr[0])
         if sender is not None:
-            self.carry(self._between.way(sender, self._number), data, self._target)
+            self.carry(self._network.way(sender, self._number), data, self._target)
 
     def _accept(self) -> None:
         try:
@@ -46,11 +48,11 @@
         except OSError:
             return
         sock.setblocking(False)
-        sender = self._between.whose.get(host)
+        sender = self._network.whose.get(host)
         if sender is None:
             sock.close()
         else:
-            self._between.link(sender, self._number).accepted(sock)
+            self._network.link(sender, self._number).accepted(sock)
 
     def close(self) -> None:
         """End it."""
@@ -59,7 +61,7 @@
         super().close()
 
 
-class Between:
+class PeerNetwork:
     """All links among the dispatchers. `nI>nJ` is what nI says to nJ; a fault on it may be one-way."""
 
     def __init__(self, nodes: list[Node]) -> None:
@@ -67,7 +69,7 @@
         self._nodes = nodes
         self._ways: dict[tuple[int, int], Way] = {}
         self._links: dict[tuple[int, int], Carried] = {}
-        self.doors = [Door(node, self) for node in nodes]
+        self.proxies = [PeerProxy(node, self) for node in nodes]
 
     def way(self, sender: int, hearer: int) -> Way:
         """One direction between two."""
@@ -97,13 +99,13 @@
 
     def close(self) -> None:
         """End it."""
-        for door in self.doors:
-            door.close()
+        for proxy in self.proxies:
+            proxy.close()
         for link in self._links.values():
             link.close()
 
 
-class TalkingNodes(Nodes):
+class PeeredNodes(Nodes):
     """Each is told the same few to ask at its start; where it is heard follows from its own address, unless
     faults are to stand between them."""
 
@@ -119,46 +121,46 @@
         self._operator = told
         self._settings = Path(self._private.name) / "operator.json"
         self._settings.write_text(json.dumps(told), encoding="utf-8")
-        self.between_peers: Between | None = None
+        self.peer_network: PeerNetwork | None = None
 
     def between(self, faults: Faults) -> None:
-        """Doors stand before all dispatchers where a fault is about a way among them."""
+        """Proxies stand before all dispatchers where a fault is about a way among them."""
         super().between(faults)
         numbers = [node.number for node in self.all]
         names = {(a, b): f"n{a}>n{b}" for a in numbers for b in numbers if a != b}
         concerned = [at for at, name in names.items() if faults.concerns(name)]
         if not concerned and not self.faulty:
             return
-        self.between_peers = Between(self.all)
+        self.peer_network = PeerNetwork(self.all)
         for at in concerned:
-            faults.relays[names[at]] = self.between_peers.link(*at)
+            faults.relays[names[at]] = self.peer_network.link(*at)
 
     def settings(self, node: Node) -> Path | None:
-        """A dispatcher's operator's file: behind a door it says where the others reach it."""
-        if self.between_peers is None:
+        """A dispatcher's operator's file: behind a proxy it says where the others reach it."""
+        if self.peer_network is None:
             return self._settings
-        doors = self.between_peers.doors
-        join = ["{}:{}".format(*doors[one.number].address) for one in self._few]
-        shown = "{}:{}".format(*doors[node.number].address)
+        proxies = self.peer_network.proxies
+        join = ["{}:{}".format(*proxies[one.number].address) for one in self._few]
+        shown = "{}:{}".format(*proxies[node.number].address)
         told = {**self._operator, "peers": {**self._operator["peers"], "join": join, "advertise": shown}}
         path = Path(self._private.name) / f"operator-{node.number}.json"
         path.write_text(json.dumps(told), encoding="utf-8")
         return path
 
     async def start(self, node: Node, known: dict[str, Any] | None) -> None:
-        """Start a process; the first time its door with it."""
-        if self.between_peers is not None and node.usage.lives == 0:
-            await self.between_peers.doors[node.number].begin()
+        """Start a process; the first time its proxy with it."""
+        if self.peer_network is not None and node.usage.lives == 0:
+            await self.peer_network.proxies[node.number].begin()
         await super().start(node, known)
 
     def kill_all(self) -> None:
         """Whatever happened, leave nothing behind."""
-        if self.between_peers is not None:
-            self.between_peers.close()
+        if self.peer_network is not None:
+            self.peer_network.close()
         super().kill_all()
 
 
-class FaultyNodes(TalkingNodes):
-    """With doors before all of them, whatever the scenario has: for tests that strike by themselves."""
+class FaultyNodes(PeeredNodes):
+    """With proxies before all of them, whatever the scenario has: for tests that strike by themselves."""
 
     faulty = True
--- a/heronstall/lab/kept.py
+++ b/heronstall/lab/supervised.py
@@ -27,7 +27,7 @@
 CLI = (sys.executable, "-B", "-m", "heronstall.cli")
 
 
-class Keeping:
+class SupervisorProcess:
     """One keeper over its lives."""
 
     def __init__(self, name: str, host: str, file: Path) -> None:
@@ -37,7 +37,7 @@
         self.process: asyncio.subprocess.Process | None = None
 
 
-class KeptNodes(Nodes):
+class SupervisedNodes(Nodes):
     """Dispatchers that keepers run. `keepers` shares them out in turn."""
 
     def __init__(
@@ -55,7 +55,9 @@
         self._limits = {"yes_s": 8, "end_s": 8, "pause_s": 0.2, **(limits or {})}
         self._zones = [zone.name for zone in plan.scenario.zones for _ in range(zone.dispatchers)]
         hosts = free_net(keepers)
-        self.keepers = [Keeping(f"k{n}", hosts[n], folder / f"k{n}" / "keeper.cue") for n in range(keepers)]
+        self.keepers = [
+            SupervisorProcess(f"k{n}", hosts[n], folder / f"k{n}" / "keeper.cue") for n in range(keepers)
+        ]
         self.operator = folder / "operator.json"
         self.operator.write_text(json.dumps(DETAIL), encoding="utf-8")
         self.first_run = self._program[1:]
@@ -123,7 +125,7 @@
 
     # ------------------------------------------------------------------ keepers
 
-    async def start_keeper(self, keeper: Keeping, program: tuple[str, ...] = CLI) -> None:
+    async def start_keeper(self, keeper: SupervisorProcess, program: tuple[str, ...] = CLI) -> None:
         """Start it, perhaps again."""
         with (self._folder / f"{keeper.name}.log").open("ab") as log:
             keeper.process = await asyncio.create_subprocess_exec(
@@ -212,7 +214,7 @@
 class Rollout:
     """The controller's process of a run, perhaps over several lives."""
 
-    def __init__(self, nodes: KeptNodes, file: Path) -> None:
+    def __init__(self, nodes: SupervisedNodes, file: Path) -> None:
         self._nodes, self.file = nodes, file
         self.process: asyncio.subprocess.Process | None = None
         self.journal = Path(json.loads(_field(file, "journal")))
--- a/tests/losses.py
+++ b/tests/losses.py
@@ -18,10 +18,10 @@
 
 from heronstall.fleet import boundary as b
 from heronstall.fleet.spec import SECOND, Scenario, scenario
-from heronstall.lab.hands import Handed, Hands
+from heronstall.lab.manual_requests import ManualAttempt, ManualClient
 from heronstall.lab.nodes import Nodes
+from heronstall.lab.peered import FaultyNodes
 from heronstall.lab.run import Run
-from heronstall.lab.talking import FaultyNodes
 from heronstall.records import loads
 from tests.lab_play import Play, main
 
@@ -52,7 +52,7 @@
 
 
 class Loss(Play):
-    """A run, and hands for its jobs."""
+    """A run, and a client for single jobs of it."""
 
     def __init__(
         self,
@@ -73,10 +73,13 @@
 
     async def __aenter__(self) -> Loss:
         await self.begin()
-        self.nodes, self.hands = self.run.nodes, Hands(self.run, max(OWN, 12 * int(self.run.scenario.rate)))
+        self.nodes, self.manual = (
+            self.run.nodes,
+            ManualClient(self.run, max(OWN, 12 * int(self.run.scenario.rate))),
+        )
         if isinstance(self.nodes, FaultyNodes):
-            assert self.nodes.between_peers is not None
-            self.between = self.nodes.between_peers
+            assert self.nodes.peer_network is not None
+            self.between = self.nodes.peer_network
         if self._grown:
             await self.wait(lambda: self.run.time.now > GROWN * SECOND)
         for child in self.run._loads:  # from here on there are our own jobs alone
@@ -119,25 +122,25 @@
         return [c for c in written if c.attempt not in back]
 
 
-def statuses(tries: list[Handed]) -> Counter[int]:
+def statuses(tries: list[ManualAttempt]) -> Counter[int]:
     """How they ended."""
-    return Counter(handed.status for handed in tries)
+    return Counter(attempt.status for attempt in tries)
 
 
-async def later(loss: Loss, number: int, node: int, most: int = 4, **more: Any) -> Handed:
+async def later(loss: Loss, number: int, node: int, most: int = 4, **more: Any) -> ManualAttempt:
     """Its client comes back until it gets an answer that is not "try again"."""
     for nth in range(1, most + 1):
-        handed = await loss.hands.hand(number, node, nth, **more)
-        if handed.status not in (0, 503):
-            return handed
-    return handed
+        attempt = await loss.manual.attempt(number, node, nth, **more)
+        if attempt.status not in (0, 503):
+            return attempt
+    return attempt
 
 
 async def killed_while_it_runs() -> None:
     """Jobs run at servers when their dispatcher is killed: `unsafe` ones never again, others once more."""
     async with Loss() as loss:
-        jobs = {cls: [loss.hands.job(cls) for _ in range(4)] for cls in ("unsafe", "keyed", "safe")}
-        first = [loss.hands.begin(n, 0) for some in jobs.values() for n in some]
+        jobs = {cls: [loss.manual.job(cls) for _ in range(4)] for cls in ("unsafe", "keyed", "safe")}
+        first = [loss.manual.begin(n, 0) for some in jobs.values() for n in some]
         await loss.running(12)
         loss.kill(0)
         await asyncio.gather(*first)
@@ -149,7 +152,7 @@
     assert statuses(back["unsafe"]) == {500: 4}, statuses(back["unsafe"])
     again = back["keyed"] + back["safe"]
     assert statuses(again) == {200: 8}, [
-        h for h in loss.hands.tries if any(h.number == a.number for a in again)
+        h for h in loss.manual.tries if any(h.number == a.number for a in again)
     ]
     twice = {n: len(loss.runs(n)) for cls in ("keyed", "safe") for n in jobs[cls]}
     assert set(twice.values()) == {2}, (twice, jobs)
@@ -162,11 +165,13 @@
     )
 
 
-async def crowd(loss: Loss, node: int, cls: str, count: int) -> tuple[list[int], list[asyncio.Task[Handed]]]:
+async def crowd(
+    loss: Loss, node: int, cls: str, count: int
+) -> tuple[list[int], list[asyncio.Task[ManualAttempt]]]:
     """Jobs in their dispatcher's hands."""
-    jobs = [loss.hands.job(cls) for _ in range(count)]
-    first = [loss.hands.begin(n, node) for n in jobs]
-    await asyncio.gather(*(h.sent.wait() for h in loss.hands.tries))
+    jobs = [loss.manual.job(cls) for _ in range(count)]
+    first = [loss.manual.begin(n, node) for n in jobs]
+    await asyncio.gather(*(h.sent.wait() for h in loss.manual.tries))
     await asyncio.sleep(0.15)
     return jobs, first
 
@@ -211,7 +216,7 @@
         loss.between.apart([0], [1, 2])
         back = await asyncio.gather(*(later(loss, n, 1 + n % 2) for n in jobs))
         own = await asyncio.gather(*first)
-        late = await asyncio.gather(*(loss.hands.hand(loss.hands.job("unsafe"), k) for k in (1, 2)))
+        late = await asyncio.gather(*(loss.manual.attempt(loss.manual.job("unsafe"), k) for k in (1, 2)))
     assert once(loss, jobs) == jobs
     assert statuses(back) == {200: 16}, statuses(back)
     assert all(h.status for h in own), statuses(own)
@@ -221,28 +226,28 @@
 async def at_two_at_once() -> None:
     """A job is handed in at two dispatchers at one moment, and later at the third: one run, one answer."""
     async with Loss() as loss:
-        jobs = [loss.hands.job("unsafe") for _ in range(6)]
-        both = [loss.hands.begin(n, k, k) for n in jobs for k in (0, 1)]
+        jobs = [loss.manual.job("unsafe") for _ in range(6)]
+        both = [loss.manual.begin(n, k, k) for n in jobs for k in (0, 1)]
         ends = await asyncio.gather(*both)
-        again = [await loss.hands.hand(n, 2, 2) for n in jobs]
-        other = await loss.hands.hand(jobs[0], 2, 3, body=b"another job", key=f"job-{jobs[0]}")
+        again = [await loss.manual.attempt(n, 2, 2) for n in jobs]
+        other = await loss.manual.attempt(jobs[0], 2, 3, body=b"another job", key=f"job-{jobs[0]}")
     assert once(loss, jobs) == jobs
     assert statuses([*ends, *again]) == {200: 18}, statuses([*ends, *again])
-    assert all(len({h.body for h in loss.hands.tries if h.number == n and h.nth < 3}) == 1 for n in jobs)
+    assert all(len({h.body for h in loss.manual.tries if h.number == n and h.nth < 3}) == 1 for n in jobs)
     assert other.status == 400, other
 
 
 async def two_of_three_lost() -> None:
     """Two are killed at one moment: the third runs nothing again that may have run, and serves the new."""
     async with Loss() as loss:
-        jobs = [loss.hands.job("unsafe") for _ in range(6)]
-        first = [loss.hands.begin(n, 0) for n in jobs]
+        jobs = [loss.manual.job("unsafe") for _ in range(6)]
+        first = [loss.manual.begin(n, 0) for n in jobs]
         await loss.running(6)
         loss.kill(0)
         loss.kill(1)
         await asyncio.gather(*first)
         back = await asyncio.gather(*(later(loss, n, 2) for n in jobs))
-        new = await loss.hands.hand(loss.hands.job("unsafe"), 2)
+        new = await loss.manual.attempt(loss.manual.job("unsafe"), 2)
     assert once(loss, jobs) == jobs
     assert statuses(back) == {500: 6} and new.status == 200, (statuses(back), new)
 
@@ -250,8 +255,8 @@
 async def ended_as_planned() -> None:
     """A dispatcher is told to end with jobs in hand: it finishes them itself, and nobody takes any over."""
     async with Loss() as loss:
-        jobs = {cls: [loss.hands.job(cls) for _ in range(4)] for cls in ("unsafe", "keyed", "safe")}
-        first = [loss.hands.begin(n, 0) for some in jobs.values() for n in some]
+        jobs = {cls: [loss.manual.job(cls) for _ in range(4)] for cls in ("unsafe", "keyed", "safe")}
+        first = [loss.manual.begin(n, 0) for some in jobs.values() for n in some]
         await loss.running(12)
         loss.nodes.ask(loss.nodes.all[0])
         loss.run._front(0, False)
--- a/tests/stories.py
+++ b/tests/stories.py
@@ -25,8 +25,8 @@
 from heronstall.fleet.spec import SECOND, Trouble, Zone
 from heronstall.keeper import calls
 from heronstall.keeper.log import read, unix_us
-from heronstall.lab.kept import CLI, ROOT, KeptNodes, Rollout
 from heronstall.lab.run import Run
+from heronstall.lab.supervised import CLI, ROOT, Rollout, SupervisedNodes
 from tests.lab_play import Play, main
 from tests.scenes import scene
 
@@ -75,12 +75,12 @@
         self.work = Path(tempfile.mkdtemp(prefix="heronstall-story-"))
         made = scene(f"faults: [{faults}]" if faults else "", RATE)
         zones = (Zone("a", 3, 3, 1.0), Zone("b", 3, 3, 1.0))
-        kept = functools.partial(KeptNodes, keepers=3, limits=limits)
+        kept = functools.partial(SupervisedNodes, keepers=3, limits=limits)
         self.run = Run(replace(made, length=LENGTH, zones=zones), 1, self.work, nodes=kept)
 
     async def __aenter__(self) -> Story:
         await self.begin()
-        assert isinstance(self.run.nodes, KeptNodes)
+        assert isinstance(self.run.nodes, SupervisedNodes)
         self.nodes = self.run.nodes
         self.old = await self.first()
         return self
--- a/tests/talks.py
+++ b/tests/talks.py
@@ -24,9 +24,9 @@
 from heronstall.fleet.spec import SECOND, Trouble, Zone
 from heronstall.lab.faults import slowed
 from heronstall.lab.nodes import Node
+from heronstall.lab.peered import PEERS_PORT, FaultyNodes, PeeredNodes, PeerNetwork
 from heronstall.lab.run import Run
 from heronstall.lab.starts import obeyed
-from heronstall.lab.talking import PEERS_PORT, Between, FaultyNodes, TalkingNodes
 from heronstall.membership.messages import Message, Row, State, pack
 from tests.lab_play import Play, main
 from tests.scenes import scene
@@ -38,7 +38,7 @@
 RELAYS = 4
 
 
-class Later(TalkingNodes):
+class Later(PeeredNodes):
     """Every other dispatcher is of a version that says more."""
 
     version = "later-words"
@@ -61,7 +61,7 @@
     wanted = RELAYS
 
     def __init__(
-        self, more: str = "", seconds: float = 60, nodes: type[TalkingNodes] = TalkingNodes, each: int = 6
+        self, more: str = "", seconds: float = 60, nodes: type[PeeredNodes] = PeeredNodes, each: int = 6
     ) -> None:
         self.work = Path(tempfile.mkdtemp(prefix="heronstall-talk-"))
         settings = self.work / "operator.json"
@@ -109,10 +109,10 @@
         await self.wait(self.follow)
 
     @property
-    def between(self) -> Between:
+    def between(self) -> PeerNetwork:
         """The ways among the dispatchers."""
-        assert isinstance(self.nodes, FaultyNodes) and self.nodes.between_peers is not None
-        return self.nodes.between_peers
+        assert isinstance(self.nodes, FaultyNodes) and self.nodes.peer_network is not None
+        return self.nodes.peer_network
 
     def pid(self, node: int) -> int:
         """Of its process."""
