--- a/heronstall/lab/tier/batch_load.py
+++ b/heronstall/lab/tier/batch_load.py
@@ -118,7 +118,7 @@
                 await asyncio.sleep(LOOK)
                 continue
             found += more
-            for _ in more if clock else ():
-                assert clock is not None
-                self._item_done.add(clock.now - due)
+            if clock is not None:
+                for _ in more:
+                    self._item_done.add(clock.now - due)
         return found
--- a/heronstall/overview/ask.py
+++ b/heronstall/overview/ask.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import json
-from collections.abc import Sequence
+from collections.abc import AsyncIterator, Sequence
 
 from heronstall.distribution.view import View
 from heronstall.overview.state import (
@@ -53,11 +53,17 @@
     )
 
 
-async def _first_view(links: Links, addresses: Sequence[str]) -> tuple[View, list[str]] | None:
-    """All that one node tells, and the core nodes that it names; asked in rounds until one is in touch."""
+async def _rounds() -> AsyncIterator[int]:
+    """The rounds in which a node is asked, with a pause before each but the first."""
     for turn in range(ROUNDS):
         if turn:
             await asyncio.sleep(PAUSE)
+        yield turn
+
+
+async def _first_view(links: Links, addresses: Sequence[str]) -> tuple[View, list[str]] | None:
+    """All that one node tells, and the core nodes that it names; asked in rounds until one is in touch."""
+    async for _ in _rounds():
         for address in addresses:
             reply = await _sync(links, address)
             if isinstance(reply, SyncReply):
@@ -78,9 +84,7 @@
 
 async def _control_node(links: Links, address: str) -> ControlNode:
     state = NodeState.SILENT
-    for turn in range(ROUNDS):
-        if turn:
-            await asyncio.sleep(PAUSE)
+    async for _ in _rounds():
         answer = await _sync(links, address)
         if isinstance(answer, SyncReply):
             versions = {"config": answer.config_version, "placement": answer.placement_version}
@@ -98,9 +102,7 @@
 async def _replica(links: Links, shard: str, replica: str) -> ReplicaView:
     """A replica: the owner alone knows that there is no job without a name, all others name the owner."""
     request = bytes(ReadRequest(job=NO_JOB, shard=shard))
-    for turn in range(ROUNDS):
-        if turn:
-            await asyncio.sleep(PAUSE)
+    async for _ in _rounds():
         reply = await links.to(address_of(replica)).call(Kind.READ, request, ANSWER_WITHIN)
         if reply.status != Status.FAILED:
             return ReplicaView(replica, NodeState.FINE, owner=reply.status == Status.UNKNOWN)
