The two models of messages take one delivery by the same function

lease_model and registry_model each cut a delivery from a message's count. tests/tier/lease_model.one_delivery serves both; orders of messages are as before.

--- a/tests/tier/lease_model.py
+++ b/tests/tier/lease_model.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field, replace
 from types import SimpleNamespace
-from typing import Any, NamedTuple, cast
+from typing import Any, NamedTuple, TypeVar, cast
 from unittest import mock
 
 from heronstall.batch import jobs as batch
@@ -30,6 +30,9 @@
 FAIR_ROUNDS = 6  # in which everything must be done once nothing is lost any more
 
 
+Sent = TypeVar("Sent")
+
+
 class Broken(AssertionError):
     """A state breaks a promise; the message has the steps that lead to it."""
 
@@ -223,15 +226,19 @@
     return world.step(f"{item} {outcome.name}", edge=ended, failed=failed)
 
 
+def one_delivery(
+    messages: tuple[tuple[Sent, int], ...], at: int
+) -> tuple[Sent, tuple[tuple[Sent, int], ...]]:
+    """The message at a place, and the messages with one delivery of it less."""
+    message, left = messages[at]
+    kept = ((message, left - 1),) if left > 1 else ()
+    return message, (*messages[:at], *kept, *messages[at + 1 :])
+
+
 def deliver(world: World, at: int) -> World:
     """A message arrives."""
-    message, left = world.messages[at]
-    rest = list(world.messages)
-    if left > 1:
-        rest[at] = (message, left - 1)
-    else:
-        del rest[at]
-    after = replace(world, messages=tuple(rest))
+    message, rest = one_delivery(world.messages, at)
+    after = replace(world, messages=rest)
     name = f"arrives: {type(message).__name__} {message.number}"
     if isinstance(message, Call):
         owner = copy.deepcopy(world.owner)
--- a/tests/tier/registry_model.py
+++ b/tests/tier/registry_model.py
@@ -18,6 +18,7 @@
 from heronstall.controlplane.state import worker_shard
 from heronstall.controlplane.state.worker_shard import WorkerShard
 from heronstall.distribution.shards import worker_shard as shard_of
+from tests.tier.lease_model import one_delivery
 
 SERVICE, WORKER = "s", "w"
 GROUP = shard_of(SERVICE)
@@ -157,17 +158,10 @@
 
 def deliver(world: World, at: int) -> World:
     """A call arrives and is answered."""
-    call, left = world.flying[at]
-    flying = list(world.flying)
-    if left > 1:
-        flying[at] = (call, left - 1)
-    else:
-        del flying[at]
+    call, flying = one_delivery(world.flying, at)
     leader = copy.deepcopy(world.leader)
     acked = world.acked | {call.state} if leader.take(call) else world.acked
-    return world.step(
-        f"{call.state} {call.sequence} arrives", leader=leader, flying=tuple(flying), acked=acked
-    )
+    return world.step(f"{call.state} {call.sequence} arrives", leader=leader, flying=flying, acked=acked)
 
 
 def check(world: World) -> None:
