A worker's answer counts for the request whose id it carries alone; ends as a table

Cause: Forwarder._relay believed Heronstall-Not-Executed and 421 before it looked whose answer it was, and BatchRunner._read a 422 or 500. A surplus answer that comes late, in the place of the next one, would let an unsafe request be sent again, or end an item that was never tried. aiohttp's pool also hands out a resting connection on which bytes have come meanwhile, and their answer with it. A 429, 503 or 408 without proof was passed on to clients for whom it promises that nothing ran.

Change: the id first, for requests and items. Every end of an attempt without an answer is one row of dataplane/attempt_ends.py (11 ends, 4 of them proofs); resting connections with a surplus byte are ended.

--- a/heronstall/dataplane/batch_runner.py
+++ b/heronstall/dataplane/batch_runner.py
@@ -309,6 +309,8 @@
         self, item: Running, worker: WorkerState, attempt: Attempt, answer: aiohttp.ClientResponse
     ) -> Outcome | None:
         worker.learn_idle(answer.headers.get("Keep-Alive"))
+        if answer.headers.get(REQUEST_ID) != item.request.id:
+            raise aiohttp.ClientPayloadError("answer to another request")
         if answer.status in (200, 500):
             self._admission.answered(worker, answer.status)
         if answer.status != 200:
@@ -320,8 +322,6 @@
             if answer.status == 503:
                 self._admission.full(worker)
             return None
-        if answer.headers.get(REQUEST_ID) != item.request.id:
-            raise aiohttp.ClientPayloadError("answer to another request")
         if not is_framed(answer):
             raise aiohttp.ClientPayloadError("an answer that does not say where it ends")
         reader = EventReader()
--- a/heronstall/dataplane/connections.py
+++ b/heronstall/dataplane/connections.py
@@ -59,6 +59,7 @@
     async def _get(self, key: ConnectionKey, traces: list[Any]) -> Connection | None:
         # The library's own order is the longest-rested first; it has no public word for another.
         self._keepalive_timeout = self._rest_limit.seconds
+        self._end_spoiled(key)
         kept = self._conns.get(key)
         rest: float | None = None
         if kept:
@@ -69,6 +70,15 @@
             self._rested[asyncio.current_task()] = rest
         return connection
 
+    def _end_spoiled(self, key: ConnectionKey) -> None:
+        """End resting connections on which bytes came for which no request waits: an old answer, maybe."""
+        kept = self._conns.get(key)
+        for entry in [e for e in kept or () if e[0].should_close]:
+            entry[0].close()
+            kept.remove(entry)  # type: ignore[union-attr]
+        if kept is not None and not kept:
+            del self._conns[key]
+
     def has_kept(self, now: float) -> bool:
         """Whether a connection rests here that may still be used."""
         limit = self._rest_limit.seconds
--- a/heronstall/dataplane/forwarding.py
+++ b/heronstall/dataplane/forwarding.py
@@ -6,7 +6,6 @@
 import time
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from enum import Enum
 from functools import cached_property
 
 import aiohttp
@@ -15,6 +14,7 @@
 from multidict import CIMultiDict
 
 from heronstall.dataplane.admission import Admission
+from heronstall.dataplane.attempt_ends import RULES, AttemptEnd, Refusal, another_may_follow
 from heronstall.dataplane.attempts import REQUEST_SILENT, Attempt
 from heronstall.dataplane.events import EventReader
 from heronstall.dataplane.framing import is_framed
@@ -51,16 +51,12 @@
 HOLD_SHARE = 0.2  # part of its aim that a request waits here for a worker
 
 
-class Tried(Enum):
-    """How an attempt ended that gave no answer."""
-
-    NOT_RUN = "not run"
-    FULL = "full"
-    MAYBE_RAN = "may have run"
-
-
 class Broken(Exception):
-    """The worker's answer ended before it was whole, or does not say where it ends."""
+    """The worker's answer cannot be passed on as a whole one."""
+
+    def __init__(self, end: AttemptEnd = AttemptEnd.CUT_SHORT) -> None:
+        super().__init__(end.value)
+        self.end = end
 
 
 @dataclass
@@ -133,7 +129,7 @@
     async def carry(self, passage: Passage) -> web.StreamResponse:
         """Serve a request: the worker's answer, or one of our own."""
         held_until = passage.arrived + HOLD_SHARE * passage.route.target_latency
-        last = Tried.NOT_RUN
+        route = passage.route
         for _ in range(SENDS):
             worker = self._admission.pick(passage.service, passage.prefix, passage.tried)
             while worker is None and time.monotonic() < held_until and not passage.tried:
@@ -144,13 +140,11 @@
             outcome = await self._attempt(passage, worker)
             if isinstance(outcome, web.StreamResponse):
                 return outcome
-            last = outcome
             passage.tried.add(worker.entry.id)
-            if outcome is Tried.MAYBE_RAN:
-                passage.runs += 1
-                if not passage.route.repeatable or passage.runs >= passage.route.max_attempts:
-                    break
-        return self._give_up(passage, last)
+            passage.runs += not RULES[outcome].not_run
+            if not another_may_follow(outcome, route.repeatable, passage.runs, route.max_attempts):
+                break
+        return self._give_up(passage)
 
     async def _wait_for_worker(self, until: float) -> None:
         try:
@@ -159,7 +153,7 @@
         except TimeoutError:
             return
 
-    def _give_up(self, passage: Passage, last: Tried) -> web.StreamResponse:
+    def _give_up(self, passage: Passage) -> web.StreamResponse:
         if passage.response is not None:
             raise Broken
         if passage.runs and not passage.route.repeatable:
@@ -168,11 +162,21 @@
             return failure(502)
         return refusal() if self._pool.of(passage.service) else refusal(STARTING)
 
-    async def _attempt(self, passage: Passage, worker: WorkerState) -> web.StreamResponse | Tried:
+    async def _attempt(self, passage: Passage, worker: WorkerState) -> web.StreamResponse | AttemptEnd:
+        """One attempt at one worker, and what its end says of the worker."""
+        outcome = await self._send(passage, worker)
+        if isinstance(outcome, AttemptEnd):
+            if RULES[outcome].worker_failed:
+                self._admission.failed(worker)
+            if outcome is AttemptEnd.FULL:
+                self._admission.full(worker)
+        return outcome
+
+    async def _send(self, passage: Passage, worker: WorkerState) -> web.StreamResponse | AttemptEnd:
         admission = self._admission
         admission.sent(worker)
         passage.attempt = None
-        well = False
+        well = head_came = False
         try:
             async with asyncio.timeout(passage.deadline - time.monotonic()) as limit:
                 patience = REQUEST_SILENT if passage.may_repeat else None
@@ -183,6 +187,7 @@
                     self._headers(passage, worker),
                     passage.body,
                 )
+                head_came = True
                 try:
                     result = await self._relay(passage, worker, answer)
                     well = True
@@ -193,13 +198,13 @@
         except UnsendablePath:
             return failure(400)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
-            admission.failed(worker)
-            return Tried.NOT_RUN
-        except (aiohttp.ClientError, ConnectionError, Broken):
-            admission.failed(worker)
-            return Tried.MAYBE_RAN
+            return AttemptEnd.NO_CONNECTION
+        except Broken as broken:
+            return broken.end
+        except (aiohttp.ClientError, ConnectionError):
+            return AttemptEnd.CUT_SHORT if head_came else AttemptEnd.NO_ANSWER
         except TimeoutError:
-            return Tried.MAYBE_RAN
+            return AttemptEnd.TIMED_OUT
         finally:
             if passage.attempt is not None:
                 worker.attempts.end(passage.attempt)
@@ -216,29 +221,25 @@
 
     async def _relay(
         self, passage: Passage, worker: WorkerState, answer: aiohttp.ClientResponse
-    ) -> web.StreamResponse | Tried:
-        """Pass an answer on. Raises Broken where it ends early."""
+    ) -> web.StreamResponse | AttemptEnd:
+        """Pass an answer on. Raises Broken where it is not whole, or not the request's own."""
         worker.learn_idle(answer.headers.get("Keep-Alive"))
         assert passage.attempt is not None
         worker.attempts.heard(passage.attempt)
-        if NOT_EXECUTED in answer.headers or answer.status == 421:
+        if answer.headers.get(REQUEST_ID) != passage.request.headers.get(REQUEST_ID):
+            raise Broken(AttemptEnd.OTHER_ID)  # whatever it says, it says nothing of this request
+        refusal_end = Refusal(answer.status, NOT_EXECUTED in answer.headers).end
+        if refusal_end is not None:
             await answer.read()
-            if answer.status == 503:
-                self._admission.full(worker)
-                return Tried.FULL
-            if answer.status == 421:
-                self._admission.failed(worker)
-            if answer.status in (429, 421, 503):
-                return Tried.NOT_RUN
-        if answer.headers.get(REQUEST_ID) != passage.request.headers.get(REQUEST_ID) or not is_framed(answer):
-            answer.close()
-            raise Broken
+            return refusal_end
+        if not is_framed(answer):
+            raise Broken(AttemptEnd.NO_LENGTH)
         self._admission.answered(worker, answer.status)
         resumes = (
             passage.route.type is RouteType.STREAMING and passage.route.resumable and answer.status == 200
         )
         if passage.response is not None and answer.status != 200:
-            raise Broken
+            raise Broken(AttemptEnd.FAILED_RESUMPTION)
         if resumes:
             return await self._relay_events(passage, worker, answer)
         if passage.route.type is RouteType.STREAMING and answer.status == 200:
--- /dev/null
+++ b/tests/tier/test_attempt_ends.py
@@ -0,0 +1,375 @@
+"""Every end of an attempt, brought about on a real socket: whether another follows, what the client gets."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+import unittest
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from unittest import mock
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from heronstall.batch.outcomes import Outcome
+from heronstall.dataplane.admission import Admission
+from heronstall.dataplane.attempt_ends import RULES, AttemptEnd, EndRule, Refusal, another_may_follow
+from heronstall.dataplane.batch_runner import BatchRunner, Running
+from heronstall.dataplane.forwarding import REQUEST_ID, Forwarder, Passage
+from heronstall.dataplane.routing import Route, RouteType
+from heronstall.dataplane.workers import WorkerPool, WorkerState
+from heronstall.transport.messages import BatchItem, LeasedItem, Worker
+
+FIRST_PORT, SECOND_PORT, CLOSED_PORT = 7751, 7752, 7753
+ID = "9c41d07be2a35f68"
+OTHER = "0000000000000000"
+BODY = b"b" * 200_000  # more than a connection takes at once
+SIGNED = "Heronstall-Response-Signature: s\r\n"
+PROOF = "Heronstall-Not-Executed: 1\r\n"
+WHOLE_EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+DEADLINE = 3.0  # seconds
+SHORT_DEADLINE = 0.15
+
+
+def answer(status: int, headers: str = "", name: str | None = ID, body: bytes = b"x") -> bytes:
+    """The bytes of a worker's answer."""
+    id_header = f"{REQUEST_ID}: {name}\r\n" if name else ""
+    head = f"HTTP/1.1 {status} S\r\n{id_header}{headers}Content-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+GOOD = answer(200, SIGNED)
+
+
+@dataclass
+class Behaviour:
+    """What a worker does with a request."""
+
+    reply: bytes = b""
+    read_body: bool = True
+    early: bool = False  # answer first, then read the body
+    reset: bool = False
+    stay: bool = False  # keep the connection open afterwards, saying nothing
+
+
+@dataclass
+class Server:
+    """A worker on a socket: the requests that it got whole, and what it does with each."""
+
+    behave: Callable[[int], Behaviour]
+    requests: int = 0
+    connections: int = 0
+    server: asyncio.Server | None = None
+    writers: list[asyncio.StreamWriter] = field(default_factory=list)
+
+    async def listen(self, port: int) -> None:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
+        self.connections += 1
+        try:
+            while await self._one(reader, writer):
+                pass
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+
+    async def _one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        head = (await reader.readuntil(b"\r\n\r\n")).lower()
+        behaviour = self.behave(self.requests)
+        if behaviour.early:
+            writer.write(behaviour.reply)
+        if behaviour.read_body:
+            length = next((int(h[15:]) for h in head.split(b"\r\n") if h.startswith(b"content-length:")), 0)
+            await reader.readexactly(length)
+        self.requests += 1
+        if behaviour.reset:
+            writer.transport.abort()
+            return False
+        if not behaviour.early:
+            writer.write(behaviour.reply)
+        await writer.drain()
+        if behaviour.stay:
+            return True
+        writer.close()
+        return False
+
+    def close(self) -> None:
+        """End all connections."""
+        assert self.server is not None
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+@dataclass(frozen=True)
+class Row:
+    """How one end is brought about, and what follows on a route that allows no repeat."""
+
+    end: AttemptEnd
+    name: str
+    behaviour: Behaviour | None  # None: nothing listens
+    status: int  # that the client of an unsafe request gets
+    deadline: float = DEADLINE
+    resumed: bool = False  # the client has begun to receive the stream
+
+
+CUT = answer(200, SIGNED)[:-1]
+EARLY_REFUSAL = Behaviour(answer(503, PROOF), early=True, stay=True)
+ROWS = (
+    Row(AttemptEnd.NO_CONNECTION, "nothing listens", None, 200),
+    Row(AttemptEnd.FULL, "503 with proof", Behaviour(answer(503, PROOF)), 200),
+    Row(
+        AttemptEnd.FULL,
+        "503 before the body is in",
+        Behaviour(answer(503, PROOF), early=True, stay=True),
+        200,
+    ),
+    Row(AttemptEnd.TURNED_AWAY, "429 with proof", Behaviour(answer(429, PROOF)), 200),
+    Row(AttemptEnd.WRONG_WORKER, "421 with proof", Behaviour(answer(421, PROOF)), 200),
+    Row(AttemptEnd.WRONG_WORKER, "421 alone", Behaviour(answer(421)), 200),
+    Row(AttemptEnd.UNPROVEN_REFUSAL, "503 without proof", Behaviour(answer(503, SIGNED)), 502),
+    Row(AttemptEnd.UNPROVEN_REFUSAL, "429 without proof", Behaviour(answer(429, SIGNED)), 502),
+    Row(AttemptEnd.UNPROVEN_REFUSAL, "408 without proof", Behaviour(answer(408, SIGNED)), 502),
+    Row(AttemptEnd.NO_ANSWER, "reset before the body is in", Behaviour(read_body=False, reset=True), 502),
+    Row(AttemptEnd.NO_ANSWER, "reset after the body is in", Behaviour(reset=True), 502),
+    Row(AttemptEnd.NO_ANSWER, "closed before the first byte", Behaviour(), 502),
+    Row(AttemptEnd.NO_ANSWER, "closed within the head", Behaviour(b"HTTP/1.1 200 OK\r\nHer"), 502),
+    Row(AttemptEnd.NO_ANSWER, "bytes that are no answer", Behaviour(b"\0\1rubbish\r\n\r\n"), 502),
+    Row(AttemptEnd.OTHER_ID, "another's answer", Behaviour(answer(200, SIGNED, OTHER)), 502),
+    Row(AttemptEnd.OTHER_ID, "another's 503 with proof", Behaviour(answer(503, PROOF, OTHER)), 502),
+    Row(AttemptEnd.OTHER_ID, "another's 429 with proof", Behaviour(answer(429, PROOF, OTHER)), 502),
+    Row(AttemptEnd.OTHER_ID, "another's 421", Behaviour(answer(421, PROOF, OTHER)), 502),
+    Row(AttemptEnd.OTHER_ID, "421 without an id", Behaviour(answer(421, PROOF, None)), 502),
+    Row(
+        AttemptEnd.NO_LENGTH,
+        "no length",
+        Behaviour(f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {ID}\r\n{SIGNED}\r\nall".encode()),
+        502,
+    ),
+    Row(AttemptEnd.CUT_SHORT, "closed within the answer", Behaviour(CUT), 502),
+    Row(AttemptEnd.FAILED_RESUMPTION, "500 in place of the rest", Behaviour(answer(500)), 0, resumed=True),
+    Row(AttemptEnd.TIMED_OUT, "silence to the deadline", Behaviour(stay=True), 504, SHORT_DEADLINE),
+)
+
+
+class SocketCase(unittest.IsolatedAsyncioTestCase):
+    """A dispatcher's forwarder before two workers; the first is always asked first."""
+
+    async def asyncSetUp(self) -> None:
+        self.servers: list[Server] = []
+        self.pool = WorkerPool()
+        self.admission = Admission(self.pool, random.Random(1))
+        self.admission.pick = self.pick  # type: ignore[assignment]
+
+    async def asyncTearDown(self) -> None:
+        for worker in self.pool.by_id.values():
+            await worker.session().close()
+        for server in self.servers:
+            server.close()
+
+    async def workers(self, first: Behaviour | None, second: Behaviour) -> tuple[Server, Server]:
+        """Start two workers that do the same with every request."""
+        for server in self.servers:
+            server.close()
+        made = Server(lambda _: first or Behaviour()), Server(lambda _: second)
+        self.servers = list(made)
+        for server, port in zip(made, (FIRST_PORT, SECOND_PORT), strict=True):
+            await server.listen(port)
+        self.register(FIRST_PORT if first else CLOSED_PORT)
+        return made
+
+    def register(self, first_port: int) -> None:
+        entries = {
+            name: Worker(id=name, service="lm", address=f"127.0.0.1:{port}", state="ready", capacity=4)
+            for name, port in (("w1", first_port), ("w2", SECOND_PORT))
+        }
+        self.pool.update({})
+        self.pool.update(entries)
+
+    def pick(self, service: str, prefix: object, tried: set[str]) -> WorkerState | None:
+        return next((w for name, w in sorted(self.pool.by_id.items()) if name not in tried), None)
+
+    def passage(self, kind: RouteType, deadline: float = DEADLINE, attempts: int = 2) -> Passage:
+        resumable = kind is RouteType.STREAMING
+        route = Route(
+            "r", "h", "/", kind, (("lm", 1.0),), 5.0, 0.5, 1, attempts, resumable, 0.25, 8.0, 60.0, 0
+        )
+        request = mock.Mock(method="POST", raw_path="/p", headers=CIMultiDict({REQUEST_ID: ID, "Host": "h"}))
+        now = time.monotonic()
+        return Passage(request, route, "lm", BODY, now + deadline, now)
+
+    async def carried(self, passage: Passage) -> int:
+        """The status that the client gets."""
+        with mock.patch("heronstall.dataplane.forwarding.PassedResponse", Written):
+            return (await Forwarder(self.pool, self.admission).carry(passage)).status
+
+
+class Written(web.StreamResponse):
+    """An answer to a client that is not there."""
+
+    def __init__(self, status: int, reason: str | None, headers: CIMultiDict[str]) -> None:
+        super().__init__(status=status, reason=reason, headers=headers)
+        self.data = b""
+
+    async def prepare(self, request: object) -> None:
+        """Send the head."""
+
+    async def write(self, data: bytes) -> None:  # type: ignore[override]
+        self.data += data
+
+    async def write_eof(self, data: bytes = b"") -> None:
+        self.data += data
+
+
+class Table(SocketCase):
+    async def row_status(self, row: Row, kind: RouteType) -> tuple[int, int]:
+        """The client's status, and the requests that reached the second worker."""
+        _, second = await self.workers(row.behaviour, Behaviour(GOOD, stay=True))
+        status = await self.carried(self.passage(kind, row.deadline))
+        return status, second.requests
+
+    async def test_on_a_route_without_repeats_another_attempt_follows_a_proof_alone(self) -> None:
+        for row in ROWS:
+            if row.resumed:
+                continue
+            with self.subTest(row.name, end=row.end):
+                status, again = await self.row_status(row, RouteType.NON_IDEMPOTENT)
+                self.assertEqual((status, again), (row.status, int(RULES[row.end].not_run)))
+
+    async def test_on_a_route_with_repeats_another_attempt_follows_every_end(self) -> None:
+        for row in ROWS:
+            if row.resumed or row.end is AttemptEnd.TIMED_OUT:
+                continue  # after the deadline nothing follows
+            with self.subTest(row.name, end=row.end):
+                self.assertEqual(await self.row_status(row, RouteType.IDEMPOTENT), (200, 1))
+
+    async def test_each_row_ends_as_it_says(self) -> None:
+        for row in ROWS:
+            await self.workers(row.behaviour, Behaviour(GOOD, stay=True))
+            passage = self.passage(RouteType.STREAMING if row.resumed else RouteType.IDEMPOTENT, row.deadline)
+            if row.resumed:
+                passage.response, passage.last_event = mock.Mock(), 1
+            with self.subTest(row.name):
+                forwarder = Forwarder(self.pool, self.admission)
+                self.assertIs(await forwarder._attempt(passage, self.pool.by_id["w1"]), row.end)
+
+    def test_every_end_has_a_row_and_a_rule(self) -> None:
+        self.assertEqual({row.end for row in ROWS}, set(AttemptEnd))
+        self.assertEqual(set(RULES), set(AttemptEnd))
+
+    async def test_a_cancelled_request_is_not_sent_again(self) -> None:
+        first, second = await self.workers(Behaviour(stay=True), Behaviour(GOOD, stay=True))
+        task = asyncio.create_task(self.carried(self.passage(RouteType.IDEMPOTENT)))
+        async with asyncio.timeout(DEADLINE):
+            while not first.requests:
+                await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.assertTrue(task.cancelled())
+        self.assertEqual((second.requests, self.pool.by_id["w1"].inflight), (0, 0))
+
+    async def test_a_stream_cut_in_an_event_goes_on_elsewhere_and_a_whole_one_does_not(self) -> None:
+        events = f"Content-Type: text/event-stream\r\n{SIGNED}"
+        whole = answer(200, events, body=WHOLE_EVENTS)
+        for cut in (whole[:-1], whole[: -len(WHOLE_EVENTS)], whole[:-20]):
+            _, second = await self.workers(Behaviour(cut), Behaviour(whole, stay=True))
+            with self.subTest(len(cut)):
+                passage = self.passage(RouteType.STREAMING)
+                self.assertEqual(await self.carried(passage), 200)
+                assert isinstance(passage.response, Written)
+                self.assertEqual((passage.response.data, second.requests), (WHOLE_EVENTS, 1))
+
+    def test_runs_are_bounded_by_the_route(self) -> None:
+        for end, rule in RULES.items():
+            self.assertEqual(another_may_follow(end, True, 2, 2), rule.not_run)
+            self.assertTrue(another_may_follow(end, True, 1, 2))
+
+    def test_what_a_worker_itself_decided_is_the_clients(self) -> None:
+        for status in (200, 400, 404, 422, 500, 504):
+            self.assertIsNone(Refusal(status, proven=False).end)
+        self.assertIsNone(Refusal(400, proven=True).end)
+
+
+class PlantedMistakes(SocketCase):
+    """Wrong rules, each found by a row."""
+
+    async def assert_found(self, end: AttemptEnd) -> None:
+        with mock.patch.dict(RULES, {end: EndRule(not_run=True, worker_failed=True)}):
+            for row in (r for r in ROWS if r.end is end):
+                _, second = await self.workers(row.behaviour, Behaviour(GOOD, stay=True))
+                await self.carried(self.passage(RouteType.NON_IDEMPOTENT, row.deadline))
+                self.assertEqual(second.requests, 1, row.name)
+
+    async def test_belief_in_anothers_answer_is_found(self) -> None:
+        await self.assert_found(AttemptEnd.OTHER_ID)
+
+    async def test_belief_in_a_refusal_without_proof_is_found(self) -> None:
+        await self.assert_found(AttemptEnd.UNPROVEN_REFUSAL)
+
+
+class SurplusAnswers(SocketCase):
+    """A worker answers twice; the surplus comes at once, while the connection rests, or later."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.first = Server(lambda _: Behaviour(GOOD, stay=True))
+        self.servers = [self.first]
+        await self.first.listen(FIRST_PORT)
+        self.register(FIRST_PORT)
+        self.worker = self.pool.by_id["w1"]
+
+    async def send(self, name: str) -> web.StreamResponse | AttemptEnd:
+        passage = self.passage(RouteType.NON_IDEMPOTENT)
+        passage.request.headers[REQUEST_ID] = name  # type: ignore[index]
+        with mock.patch("heronstall.dataplane.forwarding.PassedResponse", Written):
+            return await Forwarder(self.pool, self.admission)._attempt(passage, self.worker)
+
+    async def test_one_that_comes_at_once_spoils_the_connection(self) -> None:
+        self.first.behave = lambda _: Behaviour(GOOD + answer(503, PROOF), stay=True)
+        await self.send(ID)
+        self.assertFalse(self.worker.has_kept(time.monotonic()))
+
+    async def test_one_that_comes_while_the_connection_rests_spoils_it(self) -> None:
+        await self.send(ID)
+        self.first.writers[0].write(answer(503, PROOF))
+        connector = self.worker._connector
+        assert connector is not None
+        kept = next(iter(connector._conns.values()))[0][0]
+        async with asyncio.timeout(DEADLINE):
+            while not kept.should_close:
+                await asyncio.sleep(0)
+        self.first.behave = lambda _: Behaviour(answer(200, SIGNED, OTHER), stay=True)
+        outcome = await self.send(OTHER)
+        self.assertIsInstance(outcome, Written)
+        self.assertEqual(self.first.connections, 2)
+
+    async def test_one_that_comes_in_place_of_the_next_answer_proves_nothing(self) -> None:
+        for surplus in (answer(503, PROOF), answer(421, PROOF), answer(429, PROOF), GOOD):
+            self.first.behave = lambda _, s=surplus: Behaviour(s, stay=True)  # type: ignore[misc]
+            with self.subTest(surplus[:30]):
+                self.assertIs(await self.send(OTHER), AttemptEnd.OTHER_ID)
+                self.assertFalse(self.worker.has_kept(time.monotonic()))
+
+
+class Items(SocketCase):
+    """Batch items: what a worker's answer says counts for the item that it names alone."""
+
+    async def outcome(self, reply: bytes) -> Outcome | None:
+        await self.workers(Behaviour(reply), Behaviour())
+        runner = BatchRunner("edge", mock.Mock(), self.admission, mock.Mock(), mock.Mock())
+        item = Running(LeasedItem(job="j", host="h"), BatchItem(id=ID, path="/p", body=BODY), "batch-0")
+        return await runner._attempt(item, self.pool.by_id["w1"])
+
+    async def test_anothers_answer_says_nothing_of_an_item(self) -> None:
+        for status, own in ((422, Outcome.UNDOABLE), (500, Outcome.FAILED), (503, None), (421, None)):
+            with self.subTest(status):
+                self.assertEqual(await self.outcome(answer(status)), own)
+                self.assertIsNone(await self.outcome(answer(status, name=OTHER)))
+                self.assertIsNone(await self.outcome(answer(status, name=None)))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/tier/test_connections.py
+++ b/tests/tier/test_connections.py
@@ -37,6 +37,7 @@
 class Kept(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.limit = RestLimit()
+        self.spoiled: set[str] = set()
 
     async def asyncSetUp(self) -> None:
         self.connector = FreshestFirst(self.limit)
@@ -47,7 +48,12 @@
         for name, rest in sorted(rests.items(), key=lambda r: -r[1]):
             kept.append(
                 (
-                    mock.Mock(name=name, spec=["is_connected", "close", "transport", "label"], label=name),
+                    mock.Mock(
+                        name=name,
+                        spec=["is_connected", "close", "transport", "label", "should_close"],
+                        label=name,
+                        should_close=name in self.spoiled,
+                    ),
                     now - rest,
                 )
             )
@@ -82,6 +88,16 @@
         self.assertEqual(await self.used(), (None, None))
         self.assertTrue(all(protocol.close.called for protocol in kept))
 
+    async def test_one_on_which_bytes_came_meanwhile_is_ended(self) -> None:
+        self.spoiled = {"b"}
+        self.keep(a=1.0, b=0.2)
+        spoiled: Any = self.connector._conns["key"][-1][0]  # type: ignore[index]
+        self.assertEqual((await self.used())[0], "a")
+        spoiled.close.assert_called_once()
+        self.spoiled = {"c"}
+        self.keep(c=0.1)
+        self.assertEqual(await self.used(), (None, None))
+
     async def test_another_task_is_told_nothing(self) -> None:
         self.keep(a=0.1)
         connection: Any = await self.connector._get("key", [])  # type: ignore[arg-type]
