--- a/heronstall/controlplane/hosting.py
+++ b/heronstall/controlplane/hosting.py
@@ -14,7 +14,7 @@
 
 from heronstall.replication.log import Image
 from heronstall.replication.protocol import EntryKind, MessageKind, RecordKind, Timing, address_of
-from heronstall.replication.replica import Output, Replica
+from heronstall.replication.replica import MICROSECONDS, Output, Replica, microseconds
 from heronstall.storage.journal import Journal, Recovered
 from heronstall.transport.frames import Kind
 from heronstall.transport.links import Links
@@ -25,6 +25,7 @@
 TICK = 0.06  # seconds
 KEPT_ENTRIES = 128  # entries before a snapshot that are kept for replicas a little behind
 DISK_RETRY = 0.25  # seconds until a refused write is tried again
+CONFIRM_LOOK = 0.002  # seconds between looks for the answers of a majority
 BOOTSTRAP_INCARNATION = "0"
 
 
@@ -45,16 +46,34 @@
     """A proposed command will never be committed."""
 
 
+class Undecided(TimeoutError):
+    """Whether a proposed command was committed is not known, and will not be known here."""
+
+
+@dataclass(frozen=True)
+class EntryId:
+    """A log entry: another leader may put another one at the same index."""
+
+    index: int
+    term: int
+
+
 @dataclass
 class Hosted:
     """A replica and what belongs to it."""
 
     replica: Replica
     machine: StateMachine
-    waiting: dict[int, tuple[int, asyncio.Future[Any]]] = field(default_factory=dict)
+    waiting: dict[EntryId, asyncio.Future[Any]] = field(default_factory=dict)
     was_leader: bool = False
 
 
+def _retrieved(future: asyncio.Future[Any]) -> None:
+    """Take a failure that nobody waits for any more: the loop would log it."""
+    if not future.cancelled():
+        future.exception()
+
+
 class GroupHost:
     """All replicas of a node over one journal."""
 
@@ -120,18 +139,37 @@
 
         Raises Superseded where it is certain that it will never be committed, TimeoutError where not.
         """
+        async with asyncio.timeout(within):
+            return await asyncio.shield(self.submit(group, data))
+
+    def submit(self, group: str, data: bytes) -> asyncio.Future[Any]:
+        """Propose a command; the future has what applying it gives, whenever that is.
+
+        It fails with Superseded where it is certain that the command will never be committed, and with
+        Undecided where this node will not learn it. Raises Superseded where this is not the leader.
+        """
         hosted = self.groups[group]
         index = hosted.replica.propose(self.now(), data)
         if index is None:
             raise Superseded(group)
         future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
-        hosted.waiting[index] = (hosted.replica.term, future)
+        future.add_done_callback(_retrieved)
+        hosted.waiting[EntryId(index, hosted.replica.term)] = future
         self.flush_soon()
-        try:
-            async with asyncio.timeout(within):
-                return await future
-        finally:
-            hosted.waiting.pop(index, None)
+        return future
+
+    async def confirm(self, group: str, within: float) -> None:
+        """Return once the state here holds all that was acknowledged before this call.
+
+        Raises TimeoutError where no majority says so in time.
+        """
+        replica = self.groups[group].replica
+        asked_at = microseconds(self.now()) / MICROSECONDS
+        replica.ask_quorum(asked_at)
+        self.flush_soon()
+        async with asyncio.timeout(within):
+            while replica.confirmed_at(self.now()) < asked_at:
+                await asyncio.sleep(CONFIRM_LOOK)
 
     def flush_soon(self) -> None:
         """Write, send and apply before the loop waits again."""
@@ -248,19 +286,33 @@
     def _apply(self, hosted: Hosted, output: Output) -> None:
         if output.install is not None:
             hosted.machine.restore(output.install.state)
+            self._drop_unknown(hosted, output.install.index)
         for entry in output.apply:
             result = None
             if entry.kind == EntryKind.COMMAND:
                 result = hosted.machine.apply(entry.index, entry.data)
-            term, future = hosted.waiting.pop(entry.index, (0, None))
-            if future is not None and not future.done():
-                if term == entry.term:
-                    future.set_result(result)
-                else:
-                    future.set_exception(Superseded(hosted.replica.group))
+            self._settle(hosted, EntryId(entry.index, entry.term), result)
         if output.install is not None or output.apply:
             self.on_applied(hosted.replica.group)
 
+    @staticmethod
+    def _settle(hosted: Hosted, applied: EntryId, result: Any) -> None:
+        """Tell those who proposed an entry of this index: it was applied, or another one was."""
+        for entry in [e for e in hosted.waiting if e.index == applied.index]:
+            future = hosted.waiting.pop(entry)
+            if future.done():
+                continue
+            if entry == applied:
+                future.set_result(result)
+            else:
+                future.set_exception(Superseded(hosted.replica.group))
+
+    @staticmethod
+    def _drop_unknown(hosted: Hosted, covered: int) -> None:
+        """A snapshot does not say which of the entries that it covers were applied."""
+        for entry in [e for e in hosted.waiting if e.index <= covered]:
+            hosted.waiting.pop(entry).set_exception(Undecided(hosted.replica.group))
+
     def _tell_roles(self) -> None:
         for group, hosted in self.groups.items():
             leads = hosted.replica.established
--- a/heronstall/replication/replica.py
+++ b/heronstall/replication/replica.py
@@ -28,6 +28,13 @@
 from heronstall.transport.messages import DiskRecord, GroupMessage, LogEntry, Members, Snapshot
 
 NEVER = -1e9
+MICROSECONDS = 1e6  # a second; times in messages are whole microseconds of the clock of one node
+MARK_BITS = 62  # random bits that tell the marks of one life of a replica from those of another
+
+
+def microseconds(seconds: float) -> int:
+    """A time as messages carry it."""
+    return int(seconds * MICROSECONDS)
 
 
 class Role(Enum):
@@ -50,6 +57,7 @@
     snapshot_at: float = NEVER  # when a snapshot was sent that it has not acknowledged
     snapshot_index: int = 0  # the last entry that this snapshot covers
     resent_at: float = NEVER  # when entries were last sent again; earlier messages' refusals say nothing new
+    asked: int = 0  # the mark in its latest reply, sent back to it with what is committed
 
 
 @dataclass
@@ -83,6 +91,10 @@
         self._timing, self._random = timing, rng
         self._votes: set[str] = set()
         self._durable = self.log.last  # last entry known to be on this disk
+        self._confirmed_at = NEVER  # own time before which nothing was acknowledged that is not applied here
+        self._confirming = NEVER  # the same, once what is committed has been applied
+        self._started_at = now
+        self._first_mark = rng.getrandbits(MARK_BITS)  # marks of an earlier life are none of this one's
         self._term_start = 0  # index of the first entry of the own leadership
         self._broadcast_at = NEVER
         self._heard_at = now  # a restarted replica may have promised a lease
@@ -126,7 +138,7 @@
             self._on_vote(now, m)
         elif m.term < self.term:
             if m.kind in (MessageKind.APPEND, MessageKind.SNAPSHOT):
-                self._reply(m, MessageKind.APPEND_REPLY, False, self.log.last, now_round=m.round)
+                self._reply(now, m, False, self.log.last)
         else:
             self._on_current(now, m)
 
@@ -154,6 +166,7 @@
         while self.applied < self.commit:
             self.applied += 1
             out.apply.append(self.log.entry(self.applied))
+        self._confirmed_at = max(self._confirmed_at, self._confirming)
         return out
 
     def form(self, now: float, voters: tuple[str, ...]) -> None:
@@ -190,18 +203,37 @@
 
     @property
     def established(self) -> bool:
-        """Leader, and an entry of the own term is committed: all that was acknowledged before is known."""
-        return self.role is Role.LEADER and self.commit >= self._term_start
+        """Leader, and an entry of the own term is applied: all that was acknowledged before is in the state.
+
+        Committed is not enough: between the message that commits and the driver's next turn, the state
+        that a caller would be answered from lacks the entry.
+        """
+        return self.role is Role.LEADER and self.applied >= self._term_start
 
     def holds_lease(self, now: float) -> bool:
         """Whether reads here see all that any leader has acknowledged."""
         return self.established and now - self._quorum_round(now) < self._timing.lease
 
+    def confirmed_at(self, now: float) -> float:
+        """Own time up to which the state here holds all that any leader had acknowledged.
+
+        A leader knows by the sending time of messages that a quorum has answered. A follower knows by its
+        own clock, which it tells with each reply and a leader under a lease sends back with what is
+        committed: a message that was held up on its way, or that a frozen node finds when it wakes,
+        brings back an old time.
+        """
+        if self.role is Role.LEADER:
+            return self._quorum_round(now) if self.established else NEVER
+        return self._confirmed_at
+
     def in_touch(self, now: float, within: float) -> bool:
-        """Whether this replica leads, or has lately heard from the leader."""
+        """Whether the state here holds all that was acknowledged until `within` seconds ago."""
+        return now - self.confirmed_at(now) < within
+
+    def ask_quorum(self, now: float) -> None:
+        """Send a round of messages now, so that `confirmed_at` moves on after one exchange."""
         if self.role is Role.LEADER:
-            return now - self._quorum_round(now) < within
-        return bool(self.leader) and now - self._heard_at < within
+            self._broadcast(now)
 
     def leader_hint(self, now: float) -> str:
         """The leader's identity, where one was heard of lately."""
@@ -333,16 +365,18 @@
     def _on_append(self, now: float, m: GroupMessage) -> None:
         known = self.log.term_at(m.log_index)
         if m.log_index < self.log.base_index:
-            self._reply(m, MessageKind.APPEND_REPLY, True, self.commit, now_round=m.round)
+            self._reply(now, m, True, self.commit)
             return
         if known != m.log_term:
             hint = min(self.log.last, m.log_index - 1)
-            self._reply(m, MessageKind.APPEND_REPLY, False, hint, now_round=m.round)
+            self._reply(now, m, False, hint)
             return
         self._take_entries(m.entries)
         last = m.log_index + len(m.entries)
         self.commit = max(self.commit, min(m.commit, last))
-        self._reply(m, MessageKind.APPEND_REPLY, True, last, now_round=m.round)
+        if m.confirms and m.commit <= self.commit:
+            self._confirming = max(self._confirming, self._marked_at(now, m.confirms))
+        self._reply(now, m, True, last)
 
     def _take_entries(self, entries: list[LogEntry]) -> None:
         new: list[LogEntry] = []
@@ -358,26 +392,35 @@
             self._out.records.append(DiskRecord(group=self.group, kind=RecordKind.ENTRIES, entries=new))
 
     def _on_snapshot(self, now: float, m: GroupMessage) -> None:
+        """Take a snapshot. A log that holds its last entry stays: what lies beyond may be acknowledged."""
         snapshot = m.snapshot
         if snapshot.index > self.commit:
-            self.log.replace(snapshot)
-            self.commit = self.applied = snapshot.index
-            self._out.install = snapshot
-            self._out.apply = []
-            record = DiskRecord(group=self.group, kind=RecordKind.SNAPSHOT, snapshot=snapshot)
-            self._out.records.append(record)
-        self._reply(m, MessageKind.APPEND_REPLY, True, self.commit, now_round=m.round)
+            if self.log.term_at(snapshot.index) == snapshot.term:
+                self.commit = snapshot.index
+            else:
+                self._install(snapshot)
+        self._reply(now, m, True, self.commit)
+
+    def _install(self, snapshot: Snapshot) -> None:
+        """Hold a snapshot in place of a log that is too short for it, or differs from it."""
+        self.log.replace(snapshot)
+        self.commit = self.applied = snapshot.index
+        self._out.install = snapshot
+        self._out.apply = []
+        record = DiskRecord(group=self.group, kind=RecordKind.SNAPSHOT, snapshot=snapshot)
+        self._out.records.append(record)
 
     def _on_append_reply(self, now: float, m: GroupMessage) -> None:
         progress = self.others.get(m.sender)
         if self.role is not Role.LEADER or progress is None:
             return
         progress.heard_at = now
-        progress.acked_round = max(progress.acked_round, m.round / 1e6)
+        progress.acked_round = max(progress.acked_round, m.round / MICROSECONDS)
+        progress.asked = m.asked
         if not m.granted:
-            if m.round / 1e6 < progress.resent_at:
+            if m.round / MICROSECONDS < progress.resent_at:
                 return
-            progress.resent_at = int(now * 1e6) / 1e6
+            progress.resent_at = microseconds(now) / MICROSECONDS
             progress.next = max(1, min(progress.next - 1, m.log_index + 1))
             self._send_entries(now, m.sender, progress)
             return
@@ -454,7 +497,7 @@
             MessageKind.APPEND,
             log_index=self.log.base_index,
             log_term=self.log.base_term,
-            round=int(now * 1e6),
+            round=microseconds(now),
             early=True,
         )
 
@@ -472,7 +515,8 @@
             log_term=term,
             entries=entries,
             commit=self.commit,
-            round=int(now * 1e6),
+            round=microseconds(now),
+            confirms=progress.asked if self.holds_lease(now) else 0,
             early=True,
         )
         progress.next += len(entries)
@@ -482,7 +526,7 @@
             return
         progress.snapshot_at, progress.snapshot_index = now, self.applied
         snapshot = self.image(self.applied, self.dump())
-        self._send(replica, MessageKind.SNAPSHOT, snapshot=snapshot, round=int(now * 1e6), early=True)
+        self._send(replica, MessageKind.SNAPSHOT, snapshot=snapshot, round=microseconds(now), early=True)
         progress.next = self.applied + 1
 
     def _advance(self, now: float) -> None:
@@ -516,8 +560,20 @@
     def _other_voters(self) -> list[str]:
         return [v for v in self.log.members if v != self.me]
 
-    def _reply(self, m: GroupMessage, kind: MessageKind, granted: bool, index: int, now_round: int) -> None:
-        self._send(m.sender, kind, granted=granted, log_index=index, round=now_round)
+    def _reply(self, now: float, m: GroupMessage, granted: bool, index: int) -> None:
+        self._send(
+            m.sender,
+            MessageKind.APPEND_REPLY,
+            granted=granted,
+            log_index=index,
+            round=m.round,
+            asked=self._first_mark + microseconds(now - self._started_at),
+        )
+
+    def _marked_at(self, now: float, mark: int) -> float:
+        """Own time at which a mark was sent; NEVER for one that this life has not sent."""
+        since_start = (mark - self._first_mark) / MICROSECONDS
+        return self._started_at + since_start if 0 <= since_start <= now - self._started_at else NEVER
 
     def _send(
         self,
@@ -531,6 +587,8 @@
         commit: int = 0,
         granted: bool = False,
         round: int = 0,
+        asked: int = 0,
+        confirms: int = 0,
         snapshot: Snapshot | None = None,
         early: bool = False,
     ) -> None:
@@ -546,6 +604,8 @@
             commit=commit,
             granted=granted,
             round=round,
+            asked=asked,
+            confirms=confirms,
         )
         if snapshot is not None:
             message.snapshot = snapshot
--- a/heronstall/transport/frames.py
+++ b/heronstall/transport/frames.py
@@ -23,6 +23,7 @@
     LEASE = 7
     FINISH = 8
     SESSIONS = 9
+    WORKER_END = 10
 
 
 class Status(IntEnum):
--- a/heronstall/transport/messages.py
+++ b/heronstall/transport/messages.py
@@ -43,6 +43,8 @@
     granted: bool = betterproto.bool_field(10)
     round: int = betterproto.uint64_field(11)
     snapshot: "Snapshot" = betterproto.message_field(12)
+    asked: int = betterproto.uint64_field(13)
+    confirms: int = betterproto.uint64_field(14)
 
 
 @dataclass
@@ -99,6 +101,14 @@
     cold_ms: int = betterproto.uint32_field(9)
 
 
+@dataclass
+class WorkerEnd(betterproto.Message):
+    """A worker's end, told to the leader of a registry shard."""
+
+    shard: str = betterproto.string_field(1)
+    worker: str = betterproto.string_field(2)
+
+
 @dataclass
 class WorkerChange(betterproto.Message):
     version: int = betterproto.uint64_field(1)
@@ -147,6 +157,16 @@
     placements: List["Placement"] = betterproto.message_field(5)
     config_version: int = betterproto.uint64_field(6)
     placement_version: int = betterproto.uint64_field(7)
+    taken: List["TakenChange"] = betterproto.message_field(8)
+    forgotten_revision: int = betterproto.uint64_field(9)
+
+
+@dataclass
+class TakenChange(betterproto.Message):
+    """A change that was taken, by which a repeat of it is known."""
+
+    digest: bytes = betterproto.bytes_field(1)
+    revision: int = betterproto.uint64_field(2)
 
 
 @dataclass
