A submission that may yet be applied is never refused when it comes again

Cause: a proposal that timed out was forgotten by the owner while its entry stayed in the log. The same batch job, sent again, was then judged anew, and could be told 429 or 503 (none of it runs) though its entry is applied a moment later; its end was told 404.

Change: a proposed job is under way until its entry is decided, whoever still waits for it; repeats and ends wait for the same decision or are told nothing certain. Its tokens count towards the quota until then.

--- a/heronstall/controlplane/store.py
+++ b/heronstall/controlplane/store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable, Collection
 from typing import Any
 
@@ -58,8 +59,8 @@
         self.state = BatchShard()
         self.leases = Leases(self.state)
         self.state.listener = self
-        self.accepting: dict[str, asyncio.Future[Status]] = {}
-        self.accepting_tokens: dict[str, int] = {}
+        self.accepting: dict[str, asyncio.Future[Any]] = {}  # proposed jobs of which nothing is known yet
+        self.accepting_tokens: Counter[str] = Counter()  # of these, by route
         self.readers = NamedCalls()
         self.lease_calls = LeaseCalls()
         self._changed: set[str] = set()  # jobs with news for their readers
@@ -243,32 +244,38 @@
         job = request.job
         if job.id in owned.state.jobs:
             return Reply(Status.OK)
-        under_way = owned.accepting.get(job.id)
-        if under_way is not None:
-            return Reply(await asyncio.shield(under_way))
+        if job.id in owned.accepting:
+            return await self._decided(owned.accepting[job.id])
         job.accepted_unix_ms = int(time.time() * 1000)
         items = stored_items(job).values()
         tokens = sum(item.tokens for item in items)
-        pending = owned.accepting_tokens.get(job.route, 0)
-        waiting = owned.state.waiting_tokens[job.route] + pending
+        waiting = owned.state.waiting_tokens[job.route] + owned.accepting_tokens[job.route]
         if request.max_queued_tokens and waiting + tokens > request.max_queued_tokens:
             return Reply(Status.OVER_QUOTA)
         if not self._has_room(items):
             return Reply(Status.REFUSED)
-        future: asyncio.Future[Status] = asyncio.get_running_loop().create_future()
-        owned.accepting[job.id] = future
-        owned.accepting_tokens[job.route] = pending + tokens
-        status = Status.UNSURE
+        decision = owned.accepting[job.id] = self.host.submit(request.shard, batch.accept(job))
+        owned.accepting_tokens[job.route] += tokens
+
+        def decided(_: asyncio.Future[Any]) -> None:
+            del owned.accepting[job.id]
+            owned.accepting_tokens[job.route] -= tokens
+
+        decision.add_done_callback(decided)
+        return await self._decided(decision)
+
+    @staticmethod
+    async def _decided(decision: asyncio.Future[Any]) -> Reply:
+        """The answer to a submission once its entry is applied; nothing is said of one that is not.
+
+        Not even a refusal of a repeat: the entry stays in the log, and may be applied long after the call.
+        """
         try:
-            await self.host.propose(request.shard, batch.accept(job), COMMIT_WITHIN)
-            status = Status.OK
+            async with asyncio.timeout(COMMIT_WITHIN):
+                await asyncio.shield(decision)
         except (Superseded, TimeoutError):
-            pass
-        finally:
-            owned.accepting_tokens[job.route] -= tokens
-            del owned.accepting[job.id]
-            future.set_result(status)
-        return Reply(status)
+            return Reply(Status.UNSURE)
+        return Reply(Status.OK)
 
     def _has_room(self, items: Collection[StoredItem]) -> bool:
         """Whether disk and memory can hold these items to their end, and their results."""
@@ -303,7 +310,7 @@
     async def _end(self, owned: OwnedShard, request: ReadRequest) -> Reply:
         job = owned.state.jobs.get(request.job)
         if job is None:
-            return Reply(Status.UNKNOWN)
+            return Reply(Status.UNSURE if request.job in owned.accepting else Status.UNKNOWN)
         if not job.ended:
             await self.host.propose(request.shard, batch.end(request.job), COMMIT_WITHIN)
         return Reply(Status.OK)
