--- a/heronstall/config.py
+++ b/heronstall/config.py
@@ -317,6 +317,7 @@
     """Figures that the rules name; times in seconds."""
 
     grace: float
+    config_apply: float
     max_skew: float
     status: float
 
@@ -405,6 +406,7 @@
 def _node_bounds(bounds: _Table) -> NodeBounds:
     return NodeBounds(
         grace=bounds.number("grace_s", 8),
+        config_apply=bounds.number("config_apply_ms", 2000) / 1000,
         max_skew=bounds.number("max_skew_ms", 5000) / 1000,
         status=bounds.number("status_s", 120),
     )
--- a/heronstall/controlplane/core.py
+++ b/heronstall/controlplane/core.py
@@ -19,6 +19,7 @@
 from heronstall.replication.protocol import address_of
 from heronstall.replication.replica import Replica
 from heronstall.sessions.loads import pack
+from heronstall.distribution.freshness import TOLD_WITHIN
 from heronstall.sessions.table import EXPIRE, Sessions
 from heronstall.transport.frames import Kind, Status
 from heronstall.transport.links import Reply
@@ -33,7 +34,6 @@
 log = structlog.get_logger()
 
 CHORES = 0.3  # seconds between rounds of chores
-FRESH = 1.0  # seconds without the leader after which nothing is told to readers
 SETTLE = EXPIRE + 0.5  # seconds of leading before a silent node counts as dead
 READ_SEEDS_EVERY = 2.0  # seconds
 GATHER = 1.0  # seconds that a first placement waits for more storage nodes
@@ -135,15 +135,15 @@
                     reply.edge_number = self.sessions.number(self.host.now(), request.session)
                 return Reply(Status.OK, bytes(reply))
             try:
-                async with asyncio.timeout(min(left, FRESH / 2)):
+                async with asyncio.timeout(min(left, TOLD_WITHIN / 2)):
                     await self._news.wait()
             except TimeoutError:
                 continue
 
     def fresh(self) -> bool:
-        """Whether this node has heard of each group's leader lately, so that its views may be told."""
+        """Whether this node's views hold all that was acknowledged until lately, so that they may be told."""
         now = self.host.now()
-        return all(h.replica.in_touch(now, FRESH) for h in self.host.groups.values())
+        return all(h.replica.in_touch(now, TOLD_WITHIN) for h in self.host.groups.values())
 
     def _news_since(self, versions: dict[str, int]) -> bool:
         state = self.config.state
--- a/heronstall/dataplane/ingress.py
+++ b/heronstall/dataplane/ingress.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 
 import structlog
 from aiohttp import web
@@ -13,6 +14,7 @@
 from heronstall.dataplane.deferred import DeferredLane
 from heronstall.dataplane.forwarding import DEADLINE, STARTING, Broken, Forwarder, Passage, failure, refusal
 from heronstall.dataplane.routing import Routes, RouteType
+from heronstall.distribution.freshness import KnowledgeLimits
 
 log = structlog.get_logger()
 
@@ -27,7 +29,13 @@
     """Answers clients."""
 
     def __init__(
-        self, forwarder: Forwarder, batch: BatchFront, deferred: DeferredLane, rng: random.Random
+        self,
+        forwarder: Forwarder,
+        batch: BatchFront,
+        deferred: DeferredLane,
+        rng: random.Random,
+        knowledge_age: Callable[[], float],
+        limits: KnowledgeLimits,
     ) -> None:
         self.routes = Routes()
         self.draining = False
@@ -35,6 +43,12 @@
         self.answered_at: dict[object, float] = {}  # by connection, steady time
         self._forwarder, self._batch, self._random = forwarder, batch, rng
         self._deferred = deferred
+        self._knowledge_age, self._limits = knowledge_age, limits
+
+    @property
+    def may_serve(self) -> bool:
+        """Whether a configuration is known, and none that is much newer can be in force."""
+        return bool(self.routes.revision) and self._knowledge_age() < self._limits.serve
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
@@ -52,7 +66,7 @@
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived = time.monotonic()
-        if not self.routes.revision:
+        if not self.may_serve:
             return self._closing(refusal(STARTING))
         try:
             async with asyncio.timeout(BODY_WITHIN):
@@ -69,7 +83,8 @@
             return self._closing(await self._batch_call(request, host, path))
         route = self.routes.find(host, path)
         if route is None:
-            return self._closing(failure(404))
+            newest = self._knowledge_age() < self._limits.refuse
+            return self._closing(failure(404) if newest else refusal(STARTING))
         if route.type is RouteType.BATCH:
             return self._closing(await self._batch.submit(request, route, body))
         patience = min(_deadline(request), route.timeout)
--- a/heronstall/dataplane/node.py
+++ b/heronstall/dataplane/node.py
@@ -21,6 +21,7 @@
 from heronstall.dataplane.shard_client import ShardClient
 from heronstall.dataplane.subset import Seat
 from heronstall.dataplane.workers import WorkerPool
+from heronstall.distribution.freshness import KnowledgeLimits
 from heronstall.distribution.view import View
 from heronstall.sessions.loads import pack
 from heronstall.transport.links import Links
@@ -50,7 +51,15 @@
             settings.name, shards, self.admission, self.deferred, lambda: self.ingress.routes
         )
         forwarder = Forwarder(self.pool, self.admission)
-        self.ingress = Ingress(forwarder, BatchFront(shards), self.deferred, rng)
+        bounds = settings.bounds
+        self.ingress = Ingress(
+            forwarder,
+            BatchFront(shards),
+            self.deferred,
+            rng,
+            lambda: time.monotonic() - self.puller.known_at,
+            KnowledgeLimits.within(bounds.config_apply, bounds.max_skew),
+        )
 
         def seeds() -> list[str]:
             return settings.read_again().seed_addresses
@@ -137,7 +146,7 @@
             self.pool.update(self.view.all_workers())
 
     async def _ready(self, request: web.BaseRequest) -> web.StreamResponse:
-        ready = self.ingress.routes.revision and not self.ingress.draining
+        ready = self.ingress.may_serve and not self.ingress.draining
         return web.Response(status=200 if ready else 503)
 
     async def _listen(self, name: str, handle: Any, **options: Any) -> None:
--- /dev/null
+++ b/heronstall/distribution/freshness.py
@@ -0,0 +1,32 @@
+"""How old a node's knowledge of the control state may be for what is answered by it. Free of I/O.
+
+A control node tells its state while it holds all that was acknowledged until TOLD_WITHIN ago. A node that
+was answered knows what that control node knew when the call was sent. Together: what a dispatcher knew `age`
+seconds ago holds everything that was acknowledged `age + TOLD_WITHIN` seconds ago.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+TOLD_WITHIN = 0.6  # seconds
+MARGIN = 0.2  # seconds between the decision by what is known and its effect
+
+
+@dataclass(frozen=True)
+class KnowledgeLimits:
+    """Ages of the known configuration, in seconds, from which a dispatcher answers 503.
+
+    `refuse`: to a request for which no route is known; a newer configuration may have one.
+    `serve`: to every request. Longer than `refuse` by the time for which the core may be away, so that a
+    restart of the core stops no traffic: nothing is acknowledged meanwhile.
+    """
+
+    refuse: float
+    serve: float
+
+    @classmethod
+    def within(cls, config_apply: float, max_skew: float) -> KnowledgeLimits:
+        """The limits that keep an acknowledged configuration's bounds, all in seconds."""
+        refuse = max(0.0, config_apply - TOLD_WITHIN - MARGIN)
+        return cls(refuse, refuse + max_skew)
