The two known reds of the registry: a silence keeps the sequence, an unknown's end is kept

Cause: a worker taken for silent left no sequence behind, so that a heartbeat from before its draining counted as news; the DELETE of a worker that no shard knows was acknowledged and not kept, so that a late heartbeat of it was.

Change: the record of a silence holds the sequence. The end of an unknown worker is noted in every registry shard, at its leader (frame WORKER_END), before it is acknowledged.

--- a/heronstall/controlplane/api.py
+++ b/heronstall/controlplane/api.py
@@ -163,16 +163,16 @@
         return answer(200, {"heartbeat_url": self._core.settings.listen["control"]})
 
     async def _leave(self, request: web.BaseRequest, worker: str) -> web.StreamResponse:
-        """A worker ends. One that no shard knows was never told of: there is nothing to take back."""
-        held = [name for name, shard in self._core.workers.items() if shard.knows(worker)]
-        if not held and not self._core.fresh():
+        """A worker ends. Where no shard knows it, all note its end: a heartbeat of it may yet come."""
+        core = self._core
+        held = [name for name, shard in core.workers.items() if shard.knows(worker)]
+        if not held and not core.fresh():
             return unsure("out of touch with the leaders")
         for group in held:
-            if not self._core.leads(group):
+            if not core.leads(group):
                 return self._elsewhere(group, request)
-            gone = worker_shard.remove(worker_shard.Command.REMOVE, worker)
-            news = not self._core.workers[group].is_gone(worker)
-            if news and await self._core.commit(group, gone) is None:
+        for group in held or core.workers:
+            if not await core.remove_worker(group, worker):
                 return unsure("not known to be kept")
         return answer(200)
 
--- a/heronstall/controlplane/core.py
+++ b/heronstall/controlplane/core.py
@@ -13,13 +13,13 @@
 from heronstall.controlplane.state import worker_shard
 from heronstall.controlplane.state.config_shard import Command, ConfigShard, StoreStage, command
 from heronstall.controlplane.state.worker_shard import WorkerShard
+from heronstall.distribution.freshness import TOLD_WITHIN
 from heronstall.distribution.shards import BATCH_SHARDS, CONFIG, WORKER_SHARDS
 from heronstall.ownership.placement import Candidate, first_placement, repaired
 from heronstall.replication import membership
 from heronstall.replication.protocol import address_of
 from heronstall.replication.replica import Replica
 from heronstall.sessions.loads import pack
-from heronstall.distribution.freshness import TOLD_WITHIN
 from heronstall.sessions.table import EXPIRE, Sessions
 from heronstall.transport.frames import Kind, Status
 from heronstall.transport.links import Reply
@@ -29,6 +29,7 @@
     StoreNode,
     SyncReply,
     SyncRequest,
+    WorkerEnd,
 )
 
 log = structlog.get_logger()
@@ -92,6 +93,27 @@
         except (Superseded, TimeoutError):
             return None
 
+    async def remove_worker(self, group: str, worker: str) -> bool:
+        """Note in a registry shard that a worker has ended, here or at the shard's leader."""
+        if self.leads(group):
+            removal = worker_shard.remove(worker_shard.Command.REMOVE, worker)
+            gone = self.workers[group].is_gone(worker)
+            return gone or await self.commit(group, removal) is not None
+        address = self.leader_address(group)
+        if address is None:
+            return False
+        body = bytes(WorkerEnd(group, worker))
+        reply = await self.links.to(address).call(Kind.WORKER_END, body, COMMIT_WITHIN)
+        return reply.status == Status.OK
+
+    async def _serve_end(self, request: WorkerEnd) -> Reply:
+        if request.shard not in self.workers:
+            return Reply(Status.REFUSED)
+        if not self.leads(request.shard):
+            return Reply(Status.NOT_OWNER)
+        done = await self.remove_worker(request.shard, request.worker)
+        return Reply(Status.OK if done else Status.UNSURE)
+
     def live_stores(self) -> set[str]:
         """Replica identities of the storage nodes that have a session."""
         return {s.replica for s in self.sessions.live(self.host.now(), "storage").values()}
@@ -111,6 +133,8 @@
     async def _serve(self, kind: Kind, body: bytes) -> Reply:
         if kind == Kind.SYNC:
             return await self._sync(SyncRequest().parse(body))
+        if kind == Kind.WORKER_END:
+            return await self._serve_end(WorkerEnd().parse(body))
         return Reply(Status.REFUSED)
 
     def _one_way(self, kind: Kind, body: bytes) -> None:
--- a/heronstall/controlplane/state/worker_shard.py
+++ b/heronstall/controlplane/state/worker_shard.py
@@ -89,18 +89,23 @@
         )
 
     def _put(self, index: int, worker: Worker) -> bool:
-        known = self.workers.get(worker.id)
-        if self.is_gone(worker.id) or (known is not None and worker.sequence < known.sequence):
+        if self.is_gone(worker.id) or worker.sequence < self._last_sequence(worker.id):
             return False
         self.workers[worker.id] = worker
         self._note(WorkerChange(version=index, worker=worker, id=worker.id))
         return True
 
+    def _last_sequence(self, worker: str) -> int:
+        """The sequence of a worker's latest news that is known; a silent one's is still held."""
+        at = self._changed_at.get(worker)
+        return 0 if at is None else self._changes[at].worker.sequence
+
     def _remove(self, index: int, worker: str, said_so: bool) -> bool:
         known = self.workers.pop(worker, None)
         if known is None and not said_so:
             return False
-        last = Worker(id=worker, state="gone" if said_so else "silent")
+        sequence = known.sequence if known else 0
+        last = Worker(id=worker, state="gone" if said_so else "silent", sequence=sequence)
         self._note(WorkerChange(version=index, worker=last, removed=True, id=worker))
         self._prune()
         return True
--- a/tests/tier/registry_model.py
+++ b/tests/tier/registry_model.py
@@ -15,6 +15,7 @@
 import ujson
 
 from heronstall.controlplane.api import ControlApi
+from heronstall.controlplane.core import Core
 from heronstall.controlplane.state import worker_shard
 from heronstall.controlplane.state.worker_shard import WorkerShard
 from heronstall.distribution.shards import worker_shard as shard_of
@@ -59,6 +60,7 @@
         core.fresh = lambda: True
         core.settings.listen = {"control": "10.0.0.1:8166"}
         core.commit = self._commit
+        core.remove_worker = lambda group, worker: Core.remove_worker(core, group, worker)
         api = ControlApi(core)
         request = mock.Mock(raw_path=f"/-/instances/{WORKER}")
         if call.state == "gone":
