A change is acknowledged by its own revision, whenever it is sent again

Cause: ControlApi answered a repeat with the revision now current: A's 5 is taken and its answer lost, B's 6 is taken, A is told 6. A change that lost the race when its entry was applied was told 500, though it is certain that it is not in force. Two identical proposals in the log (time-out, repeat): the second was told 500. Reads, changes and retires were answered under a lease of before the call.

Applying a change says taken, repeated or refused, and the answer follows. Each of these calls asks a majority first; the lock that let one slow commit hold up all other orders is gone, since the log decides.

--- a/heronstall/controlplane/api.py
+++ b/heronstall/controlplane/api.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import hashlib
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -14,7 +13,7 @@
 
 from heronstall.controlplane.core import Core
 from heronstall.controlplane.state import worker_shard
-from heronstall.controlplane.state.config_shard import Command, StoreStage, command
+from heronstall.controlplane.state.config_shard import ChangeOutcome, Command, StoreStage, command
 from heronstall.controlplane.state.documents import ConfigFault, Document, Fault, canonical, read_object
 from heronstall.distribution.shards import BATCH_SHARDS, CONFIG
 from heronstall.distribution.shards import worker_shard as shard_of
@@ -47,7 +46,6 @@
 
     def __init__(self, core: Core) -> None:
         self._core = core
-        self._changing = asyncio.Lock()
         self._control_port = core.settings.listen["control"].rpartition(":")[2]
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -76,17 +74,19 @@
     # ------------------------------------------------------------------ configuration
 
     async def _config(self, request: web.BaseRequest, method: str) -> web.StreamResponse:
-        if not self._core.leads(CONFIG):
+        """Answer by the newest state: a majority has confirmed it after the call came."""
+        if method not in ("GET", "PUT", "PATCH"):
+            return answer(405, {"error": "GET, PUT or PATCH is wanted"})
+        body = await request.read()
+        if not await self._confirmed(CONFIG):
             return self._elsewhere(CONFIG, request)
         if method == "GET":
             return self._read_config()
-        if method not in ("PUT", "PATCH"):
-            return answer(405, {"error": "GET, PUT or PATCH is wanted"})
-        body = await request.read()
-        async with self._changing:
-            if not self._core.leads(CONFIG):
-                return self._elsewhere(CONFIG, request)
-            return await self._change(method, request.headers.get("If-Match", ""), body)
+        return await self._change(method, request.headers.get("If-Match", ""), body)
+
+    async def _confirmed(self, group: str) -> bool:
+        """Whether this node leads a group, as a majority says after this call."""
+        return self._core.leads(group) and await self._core.confirmed(group)
 
     def _read_config(self) -> web.Response:
         document = self._core.config.state.document
@@ -95,27 +95,34 @@
         return web.Response(body=document, content_type="application/json")
 
     async def _change(self, method: str, base_text: str, body: bytes) -> web.StreamResponse:
-        state = self._core.config.state
+        config = self._core.config
+        current = config.state.revision
         parsed = read_object(body)
         if isinstance(parsed, Err):
             return self._refused(*parsed.err_value)
         given = parsed.ok_value
-        digest = hashlib.sha256(method.encode() + base_text.encode() + canonical(given)).hexdigest()[:32]
-        if digest in state.digests:
-            return answer(200, {"revision": state.revision})  # it was taken
-        base = int(base_text.strip('" ')) if base_text.strip('" ').isdigit() else None
-        if base is None or base != state.revision:
-            return self._refused(ConfigFault.WRONG_BASE, f"revision {state.revision} is current")
+        base = base_text.strip('" ')
+        digest = hashlib.sha256(method.encode() + base.encode() + canonical(given)).hexdigest()[:32]
+        earlier = config.taken(digest)
+        if earlier is not None:
+            return answer(200, {"revision": earlier})
+        if base != str(current):
+            revision = given.get("revision")
+            if isinstance(revision, int) and config.may_be_forgotten(revision):
+                return unsure("so old a change may have been taken")
+            return self._refused(ConfigFault.WRONG_BASE, f"revision {current} is current")
         made = self._successor(method, given)
         if isinstance(made, Err):
             return self._refused(*made.err_value)
         document = made.ok_value
         text = ujson.dumps(document, escape_forward_slashes=False).encode()
-        change = ConfigChange(base, document["revision"], text, digest)
-        done = await self._core.commit(CONFIG, command(Command.CHANGE, change))
-        if not done:
-            return answer(500, {"error": "it may or may not have been taken"})
-        log.info("configuration taken", revision=change.revision)
+        change = ConfigChange(current, document["revision"], text, digest)
+        outcome = await self._core.change_config(change)
+        if outcome is None:
+            return unsure("it may or may not have been taken")
+        if outcome is ChangeOutcome.REFUSED:
+            return self._refused(ConfigFault.WRONG_BASE, f"revision {config.state.revision} is current")
+        log.info("configuration taken", revision=change.revision, again=outcome is ChangeOutcome.REPEATED)
         return answer(200, {"revision": change.revision})
 
     def _successor(self, method: str, given: Document) -> Result[Document, Fault]:
@@ -180,7 +187,7 @@
 
     async def _retire(self, method: str, node: str, request: web.BaseRequest) -> web.StreamResponse:
         core = self._core
-        if not core.leads(CONFIG):
+        if not await self._confirmed(CONFIG):
             return self._elsewhere(CONFIG, request)
         known = core.config.store(node)
         if known is None:
@@ -202,7 +209,7 @@
             return answer(409, {"error": f"{core.copies} storage nodes must remain"})
         retiring = StoreNode(known.name, known.replica, known.zone, StoreStage.RETIRING)
         if await core.commit(CONFIG, command(Command.STORE, retiring)) is None:
-            return answer(500, {"error": "it may or may not have been taken"})
+            return unsure("it may or may not have been taken")
         log.info("retiring", node=node, shards=len(BATCH_SHARDS))
         return answer(200)
 
--- a/heronstall/controlplane/core.py
+++ b/heronstall/controlplane/core.py
@@ -11,7 +11,13 @@
 from heronstall.controlplane.hosting import Superseded
 from heronstall.controlplane.replica_node import ReplicaNode
 from heronstall.controlplane.state import worker_shard
-from heronstall.controlplane.state.config_shard import Command, ConfigShard, StoreStage, command
+from heronstall.controlplane.state.config_shard import (
+    ChangeOutcome,
+    Command,
+    ConfigShard,
+    StoreStage,
+    command,
+)
 from heronstall.controlplane.state.worker_shard import WorkerShard
 from heronstall.distribution.freshness import TOLD_WITHIN
 from heronstall.distribution.shards import BATCH_SHARDS, CONFIG, WORKER_SHARDS
@@ -24,6 +30,7 @@
 from heronstall.transport.frames import Kind, Status
 from heronstall.transport.links import Reply
 from heronstall.transport.messages import (
+    ConfigChange,
     Placement,
     SessionTable,
     StoreNode,
@@ -41,6 +48,7 @@
 LOG_LIMIT = 8 * 1024 * 1024  # bytes of log before a slot is written
 DISK_PARTS = 8  # of the disk, of which the log takes one at the most
 COMMIT_WITHIN = 2.5  # seconds
+CONFIRM_WITHIN = 0.5  # seconds for the answers of a majority
 SILENT_BEATS = 3.2  # heartbeats that a worker may miss
 
 
@@ -93,6 +101,26 @@
         except (Superseded, TimeoutError):
             return None
 
+    async def change_config(self, change: ConfigChange) -> ChangeOutcome | None:
+        """Commit a change of the configuration: what became of it, or None where nothing can be said.
+
+        None too where another leader's entry took its place: the change itself was not at fault.
+        """
+        try:
+            outcome = await self.host.propose(CONFIG, command(Command.CHANGE, change), COMMIT_WITHIN)
+        except (Superseded, TimeoutError):
+            return None
+        assert isinstance(outcome, ChangeOutcome)
+        return outcome
+
+    async def confirmed(self, group: str) -> bool:
+        """Whether a majority says, after this call, that this node leads: its state is then the newest."""
+        try:
+            await self.host.confirm(group, CONFIRM_WITHIN)
+        except TimeoutError:
+            return False
+        return self.leads(group)
+
     async def remove_worker(self, group: str, worker: str) -> bool:
         """Note in a registry shard that a worker has ended, here or at the shard's leader."""
         if self.leads(group):
--- a/tests/tier/test_control.py
+++ b/tests/tier/test_control.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import copy
+import functools
 import random
 import unittest
 from collections import Counter
@@ -16,7 +17,7 @@
 from heronstall.controlplane.api import ControlApi
 from heronstall.controlplane.core import Core
 from heronstall.controlplane.state import config_shard, worker_shard
-from heronstall.controlplane.state.config_shard import ConfigShard
+from heronstall.controlplane.state.config_shard import ChangeOutcome, ConfigShard
 from heronstall.controlplane.state.documents import ConfigFault, canonical, read_object
 from heronstall.controlplane.state.operator_config import checked, patched
 from heronstall.controlplane.state.worker_shard import REMOVED_KEPT, WorkerShard
@@ -25,6 +26,8 @@
 from heronstall.ownership.placement import Candidate, first_placement, repaired
 from heronstall.sessions.loads import WorkerLoad, pack, unpack
 from heronstall.sessions.table import EXPIRE, Sessions
+from heronstall.transport.frames import Kind, Status
+from heronstall.transport.links import LOST, Reply
 from heronstall.transport.messages import (
     ConfigChange,
     Loads,
@@ -34,6 +37,7 @@
     Worker,
     WorkerChange,
     WorkerDelta,
+    WorkerEnd,
 )
 
 CONFIG: dict[str, Any] = {
@@ -119,17 +123,17 @@
 
     def test_of_two_changes_on_one_version_one_wins(self) -> None:
         shard = ConfigShard()
-        changes = [ConfigChange(0, 5, b'{"revision":5}', "x"), ConfigChange(0, 6, b'{"revision":6}', "y")]
+        changes = [ConfigChange(0, 5, b'{"revision":5}', "0a"), ConfigChange(0, 6, b'{"revision":6}', "0b")]
         done = [
             shard.apply(n + 1, config_shard.command(config_shard.Command.CHANGE, c))
             for n, c in enumerate(changes)
         ]
-        self.assertEqual(done, [True, False])
-        self.assertEqual((shard.state.revision, shard.state.digests), (5, ["x"]))
+        self.assertEqual(done, [ChangeOutcome.TAKEN, ChangeOutcome.REFUSED])
+        self.assertEqual((shard.state.revision, shard.taken("0a"), shard.taken("0b")), (5, 5, None))
 
     def test_a_dump_restores_the_shard(self) -> None:
         shard = ConfigShard()
-        shard.apply(3, config_shard.command(config_shard.Command.CHANGE, ConfigChange(0, 5, b"{}", "x")))
+        shard.apply(3, config_shard.command(config_shard.Command.CHANGE, ConfigChange(0, 5, b"{}", "0a")))
         shard.apply(4, config_shard.command(config_shard.Command.PLACE, Placement("batch-0", ["a"], True)))
         other = ConfigShard()
         other.restore(shard.dump())
@@ -212,8 +216,19 @@
         self.core.leader_address = lambda group: "10.0.0.2:7720"
         self.core.fresh = lambda: True
         self.core.commit = self.commit
+        self.core.remove_worker = functools.partial(Core.remove_worker, self.core)
+        self.core.links.to.return_value.call = self.tell_other
+        self.other_reachable = True
         self.api = ControlApi(self.core)
 
+    async def tell_other(self, kind: Kind, body: bytes, within: float) -> Reply:
+        """The other shard's leader takes a worker's end."""
+        if not self.other_reachable:
+            return LOST
+        end = WorkerEnd().parse(body)
+        self.apply(end.shard, worker_shard.remove(worker_shard.Command.REMOVE, end.worker))
+        return Reply(Status.OK)
+
     async def commit(self, group: str, data: bytes) -> bool:
         """Commit at once."""
         self.committed.append((group, data))
@@ -247,11 +262,19 @@
         self.assertEqual(await self.leave("w"), 200)
         self.assertFalse(self.apply(self.LED, worker_shard.put(Worker(id="w", service="s", state="ready"))))
 
-    async def test_who_was_never_known_is_sent_round_to_nobody(self) -> None:
+    async def test_the_end_of_one_that_no_shard_knows_is_kept_by_all_of_them(self) -> None:
         self.assertEqual(await self.leave("unknown"), 200)
-        self.core.fresh = lambda: False
+        self.assertEqual(len(self.committed), 1)
+        for group in (self.LED, self.OTHER):
+            self.assertFalse(self.apply(group, worker_shard.put(Worker(id="unknown", service="s"))))
+
+    async def test_an_end_that_no_shard_knows_is_acknowledged_by_all_leaders_or_not_at_all(self) -> None:
+        self.other_reachable = False
         self.assertEqual(await self.leave("unknown"), 503)
-        self.assertEqual(self.committed, [])
+        self.other_reachable = True
+        self.core.fresh = lambda: False
+        self.assertEqual(await self.leave("another"), 503)
+        self.assertNotIn("another", str(self.committed))
 
 
 class SlowCommits(unittest.IsolatedAsyncioTestCase):
