--- a/heronstall/controlplane/core.py
+++ b/heronstall/controlplane/core.py
@@ -42,7 +42,8 @@
 log = structlog.get_logger()
 
 CHORES = 0.3  # seconds between rounds of chores
-SETTLE = EXPIRE + 0.5  # seconds of leading before a silent node counts as dead
+SETTLE = EXPIRE + 0.5  # seconds of a process's life before a silent node counts as dead
+LED_LEAST = 1.0  # seconds of leading before that: nodes that called the former leader call another by then
 READ_SEEDS_EVERY = 2.0  # seconds
 GATHER = 1.0  # seconds that a first placement waits for more storage nodes
 LOG_LIMIT = 8 * 1024 * 1024  # bytes of log before a slot is written
@@ -64,7 +65,8 @@
         self._news = asyncio.Event()
         self._led_since: dict[str, float] = {}
         self._placing_since: float | None = None
-        self._seeds_after = self.host.now() + READ_SEEDS_EVERY
+        self._started_at = self.host.now()
+        self._seeds_after = self._started_at + READ_SEEDS_EVERY
 
     async def start(self) -> None:
         """Join the groups and begin to serve other nodes."""
@@ -152,9 +154,12 @@
         return 2 * self.settings.machines_lost + 1
 
     def settled(self) -> bool:
-        """Whether this node has led long enough to know which storage nodes live."""
-        since = self._led_since.get(CONFIG)
-        return since is not None and self.host.now() - since > SETTLE
+        """Whether this node knows which storage nodes live.
+
+        Sessions are told to followers as well: one that has run for long need not lead for long.
+        """
+        now, since = self.host.now(), self._led_since.get(CONFIG)
+        return since is not None and now - since > LED_LEAST and now - self._started_at > SETTLE
 
     # ------------------------------------------------------------------ other nodes
 
@@ -344,9 +349,15 @@
             await self.host.propose(CONFIG, command(Command.STORE, retired), COMMIT_WITHIN)
 
     def _emptied(self, replica: str) -> bool:
-        """Whether all shards live elsewhere, as their own leaders say."""
+        """Whether all shards live elsewhere, as their own leaders say.
+
+        What a leader told before it knew the present placement says nothing: it may still move away from it.
+        """
         told: dict[str, tuple[int, tuple[str, ...]]] = {}
+        present = self.config.state.placement_version
         for session in self.sessions.live(self.host.now(), "storage").values():
+            if session.placement_version < present:
+                continue
             for status in session.shards:
                 if status.leader == session.replica and status.term >= told.get(status.shard, (0, ()))[0]:
                     told[status.shard] = (status.term, tuple(status.voters))
--- a/heronstall/controlplane/store.py
+++ b/heronstall/controlplane/store.py
@@ -151,6 +151,7 @@
             zone=self.settings.zone,
             replica=self.host.me,
             shards=statuses,
+            placement_version=self.view.versions.get("placement", 0),
         )
 
     def _news(self, changed: set[str]) -> None:
--- a/heronstall/replication/protocol.py
+++ b/heronstall/replication/protocol.py
@@ -46,7 +46,7 @@
     lease: float = 0.36
     resend_snapshot: float = 2.0
     join: float = 0.7
-    dead: float = 3.0
+    dead: float = 2.0  # silence after which a member gives way to a learner that is whole
 
 
 APPEND_BYTES = 1024 * 1024  # of entries in one message
--- a/heronstall/replication/replica.py
+++ b/heronstall/replication/replica.py
@@ -23,12 +23,14 @@
     MessageKind,
     RecordKind,
     Timing,
+    address_of,
     quorum,
 )
 from heronstall.transport.messages import DiskRecord, GroupMessage, LogEntry, Members, Snapshot
 
 NEVER = -1e9
 MICROSECONDS = 1e6  # a second; times in messages are whole microseconds of the clock of one node
+CONTACTS_MOST = 8
 MARK_BITS = 62  # random bits that tell the marks of one life of a replica from those of another
 
 
@@ -98,7 +100,9 @@
         self._term_start = 0  # index of the first entry of the own leadership
         self._broadcast_at = NEVER
         self._heard_at = now  # a restarted replica may have promised a lease
-        self._join_at = now + 2 * timing.election_most
+        self._contacts: tuple[str, ...] = ()  # members that take this replica for a former one
+        # one that holds a log waits for its leader first; an empty one has none
+        self._join_at = now + 2 * timing.election_most if self.log.last else now
         self._elect_at = 0.0
         self._out = Output()
         self._put_off(now)
@@ -120,7 +124,10 @@
 
     def receive(self, now: float, m: GroupMessage) -> None:
         """Take a message of another replica."""
-        if (m.recipient != self.me and m.kind != MessageKind.JOIN) or m.group != self.group:
+        if m.group != self.group:
+            return
+        if m.recipient != self.me and m.kind != MessageKind.JOIN:
+            self._note_contact(m)
             return
         if m.kind == MessageKind.PRE_VOTE:
             self._on_pre_vote(now, m)
@@ -178,6 +185,11 @@
         self._out.records.append(DiskRecord(group=self.group, kind=RecordKind.SNAPSHOT, snapshot=snapshot))
         self._elect_at = now + self._random.random() * 0.3
 
+    def _note_contact(self, m: GroupMessage) -> None:
+        """Remember who writes to a former replica at this address: a member of the group to be joined."""
+        if address_of(m.recipient) == address_of(self.me):
+            self._contacts = (*(c for c in self._contacts if c != m.sender), m.sender)[-CONTACTS_MOST:]
+
     def ask_to_join(self, now: float, replicas: list[str]) -> None:
         """Tell members that this replica is none of the group's and wants to learn, if it is so."""
         silent = now - self._heard_at > 2 * self._timing.election_most
@@ -186,7 +198,7 @@
         if now < self._join_at:
             return
         self._join_at = now + self._timing.join
-        for replica in replicas:
+        for replica in dict.fromkeys((*replicas, *self._contacts)):
             self._send(replica, MessageKind.JOIN)
 
     def hand_over(self, now: float) -> None:
--- a/heronstall/sessions/table.py
+++ b/heronstall/sessions/table.py
@@ -7,7 +7,7 @@
 from heronstall.sessions.loads import WorkerLoad, unpack
 from heronstall.transport.messages import Session
 
-EXPIRE = 3.0  # seconds of silence that end a session
+EXPIRE = 2.5  # seconds of silence that end a session
 TOLD_WITHIN = 1.0  # seconds: sessions renewed here so lately are told to the other control nodes
 
 
--- a/heronstall/transport/messages.py
+++ b/heronstall/transport/messages.py
@@ -189,6 +189,7 @@
     shards: List["ShardStatus"] = betterproto.message_field(6)
     age_ms: int = betterproto.uint32_field(7)
     loads: "Loads" = betterproto.message_field(9)
+    placement_version: int = betterproto.uint64_field(10)
 
 
 @dataclass
