A loss of the whole core stops no traffic before recover_s

Change: dispatchers serve by what they know for recover_s more; a 404 still needs knowledge within config_apply_ms.

--- a/heronstall/config.py
+++ b/heronstall/config.py
@@ -319,6 +319,7 @@
     grace: float
     config_apply: float
     max_skew: float
+    recover: float
     status: float
 
 
@@ -408,5 +409,6 @@
         grace=bounds.number("grace_s", 8),
         config_apply=bounds.number("config_apply_ms", 2000) / 1000,
         max_skew=bounds.number("max_skew_ms", 5000) / 1000,
+        recover=bounds.number("recover_s", 12),
         status=bounds.number("status_s", 120),
     )
--- a/heronstall/dataplane/node.py
+++ b/heronstall/dataplane/node.py
@@ -58,7 +58,7 @@
             self.deferred,
             rng,
             lambda: time.monotonic() - self.puller.known_at,
-            KnowledgeLimits.within(bounds.config_apply, bounds.max_skew),
+            KnowledgeLimits.within(bounds.config_apply, bounds.max_skew, bounds.recover),
         )
 
         def seeds() -> list[str]:
--- a/heronstall/distribution/freshness.py
+++ b/heronstall/distribution/freshness.py
@@ -18,15 +18,16 @@
     """Ages of the known configuration, in seconds, from which a dispatcher answers 503.
 
     `refuse`: to a request for which no route is known; a newer configuration may have one.
-    `serve`: to every request. Longer than `refuse` by the time for which the core may be away, so that a
-    restart of the core stops no traffic: nothing is acknowledged meanwhile.
+    `serve`: to every request. Longer than `refuse` by the skew allowed while the core is unstable, and by the
+    time in which a core that was lost whole has to be back: until then there may be no majority, so that
+    nothing newer can be in force, and a loss of the core stops no traffic.
     """
 
     refuse: float
     serve: float
 
     @classmethod
-    def within(cls, config_apply: float, max_skew: float) -> KnowledgeLimits:
+    def within(cls, config_apply: float, max_skew: float, recover: float) -> KnowledgeLimits:
         """The limits that keep an acknowledged configuration's bounds, all in seconds."""
         refuse = max(0.0, config_apply - TOLD_WITHIN - MARGIN)
-        return cls(refuse, refuse + max_skew)
+        return cls(refuse, refuse + max_skew + recover)
