--- a/tests/tier/cluster.py
+++ b/tests/tier/cluster.py
@@ -8,7 +8,7 @@
 from heronstall.replication.log import Image
 from heronstall.replication.protocol import EntryKind, RecordKind, Timing
 from heronstall.replication.replica import Replica, Role
-from heronstall.transport.messages import DiskRecord, GroupMessage
+from heronstall.transport.messages import DiskRecord, GroupMessage, LogEntry, Snapshot
 
 GROUP = "g"
 
@@ -48,6 +48,16 @@
                 image.entries = [e for e in image.entries if e.index < first] + list(record.entries)
         return image if self.synced else None
 
+    def compact(self, term: int, vote: str, snapshot: Snapshot, entries: list[LogEntry]) -> None:
+        """Hold an image in place of all records so far."""
+        later = [e for e in entries if e.index > snapshot.index]
+        self.synced = [
+            DiskRecord(group=GROUP, kind=RecordKind.VOTE, term=term, vote=vote),
+            DiskRecord(group=GROUP, kind=RecordKind.SNAPSHOT, snapshot=snapshot),
+        ]
+        if later:
+            self.synced.append(DiskRecord(group=GROUP, kind=RecordKind.ENTRIES, entries=later))
+
 
 @dataclass
 class Node:
@@ -80,9 +90,13 @@
         self.nodes = {name: self._boot(name, 0, Disk()) for name in names}
         first = tuple(f"{name}#0" for name in names)
         for node in self.nodes.values():
-            node.replica.form(self.now, first)
+            node.replica.form(self.clock(node.name), first)
             self.settle(node)
 
+    def clock(self, name: str) -> float:
+        """A node's own steady time."""
+        return self.now
+
     # ------------------------------------------------------------------ what may happen
 
     def pass_time(self, seconds: float) -> None:
@@ -90,13 +104,13 @@
 
     def tick(self, name: str) -> None:
         node = self.nodes[name]
-        node.replica.tick(self.now)
+        node.replica.tick(self.clock(name))
         self.settle(node)
 
     def deliver(self, position: int, keep: bool = False) -> None:
         message = self.network[position] if keep else self.network.pop(position)
         node = self.nodes[message.recipient.partition("#")[0]]
-        node.replica.receive(self.now, message)
+        node.replica.receive(self.clock(node.name), message)
         self.settle(node)
 
     def lose(self, position: int) -> None:
@@ -106,7 +120,7 @@
         node = self.nodes[name]
         self.number += 1
         command = b"c%d" % self.number + b"." * size
-        index = node.replica.propose(self.now, command)
+        index = node.replica.propose(self.clock(name), command)
         if index is not None:
             self.proposed[node.identity, node.replica.term, index] = command
         self.settle(node)
@@ -119,17 +133,17 @@
     def rejoin(self, name: str) -> None:
         node = self.nodes[name]
         others = [n.identity for n in self.nodes.values() if n is not node]
-        node.replica.ask_to_join(self.now, others)
+        node.replica.ask_to_join(self.clock(name), others)
         self.settle(node)
 
     def members(self, name: str) -> None:
         """A leader replaces a former incarnation by the present one, a step at a time."""
         from heronstall.replication import membership
 
-        replica = self.nodes[name].replica
-        wanted = membership.wanted_voters(replica, len(self.nodes), self.now, self.timing)
+        replica, now = self.nodes[name].replica, self.clock(name)
+        wanted = membership.wanted_voters(replica, len(self.nodes), now, self.timing)
         if wanted:
-            membership.step(replica, wanted, self.now, self.timing)
+            membership.step(replica, wanted, now, self.timing)
         self.settle(self.nodes[name])
 
     # ------------------------------------------------------------------ how a node carries it out
@@ -142,7 +156,7 @@
                 self.network += out.late
             node.disk.synced += out.records
             if out.records:
-                node.replica.synced(self.now)
+                node.replica.synced(self.clock(node.name))
             if self.sync_first:
                 self.network += out.late
             if out.install is not None:
@@ -169,7 +183,7 @@
             holder = self.leaders.setdefault(replica.term, node.identity)
             if holder != node.identity:
                 raise Violation(f"term {replica.term}: {holder} and {node.identity} lead")
-        if replica.holds_lease(self.now):
+        if replica.holds_lease(self.clock(node.name)):
             missing = [c for c in self.acknowledged if c not in node.machine.commands]
             if missing:
                 raise Violation(f"{node.identity} may serve and has not {missing}")
@@ -177,7 +191,7 @@
     def _boot(self, name: str, incarnation: int, disk: Disk) -> Node:
         machine = Machine()
         image = disk.image()
-        replica = self.made(GROUP, f"{name}#{incarnation}", self.timing, self.rng, self.now, image)
+        replica = self.made(GROUP, f"{name}#{incarnation}", self.timing, self.rng, self.clock(name), image)
         replica.dump = machine.dump
         if image is not None and image.snapshot is not None:
             machine.restore(image.snapshot.state)
@@ -208,7 +222,7 @@
 
     def leader(self) -> Node | None:
         """The node that may serve, if one may."""
-        return next((n for n in self.nodes.values() if n.replica.holds_lease(self.now)), None)
+        return next((n for n in self.nodes.values() if n.replica.holds_lease(self.clock(n.name))), None)
 
     def step_at_random(self, wipes: int) -> None:
         """One drawn event."""
