Two answers to pulls at one moment no longer end the pulling for good

Cause: with a call beside a late one, both may be answered in one turn of the loop. The first that helped took the other from the table of calls, and taking it again raised KeyError: the task ended, and the node never pulled again.

Change: ended calls leave the table before any is judged; a round that fails is logged (`pull failed`) and the next one goes on.

Tests: answers of one moment, and an answer that cannot be taken (test_pulling).

--- a/heronstall/transport/pulling.py
+++ b/heronstall/transport/pulling.py
@@ -94,7 +94,11 @@
         """Pull until cancelled."""
         try:
             while True:
-                await self._round()
+                try:
+                    await self._round()
+                except Exception as error:  # whatever came of one answer, the next round may do better
+                    log.error("pull failed", error=repr(error))
+                    await asyncio.sleep(PAUSE)
         finally:
             for call in self._calls.values():
                 call.cancel()
@@ -109,9 +113,11 @@
         done, _ = await asyncio.wait(
             self._calls.values(), timeout=patience, return_when=asyncio.FIRST_COMPLETED
         )
-        for address in [a for a, call in self._calls.items() if call in done]:
-            helped = self._calls.pop(address).result()
-            await self._ended(address, helped)
+        ended = {address: call for address, call in self._calls.items() if call in done}
+        for address in ended:
+            del self._calls[address]
+        for address, call in ended.items():
+            self._ended(address, call.result())
 
     async def _begin_call(self) -> None:
         """Ask the node that answered last, else another one; none where enough are being asked."""
@@ -129,7 +135,8 @@
             hold = 0.0 if busy else self._hold()  # beside a late call an answer is wanted at once
             self._calls[address] = asyncio.create_task(self._pull(address, hold))
 
-    async def _ended(self, address: str, helped: bool) -> None:
+    def _ended(self, address: str, helped: bool) -> None:
+        """Take the end of a call. Several may end at once."""
         now = time.monotonic()
         if helped:
             self._at = address
--- a/tests/tier/test_pulling.py
+++ b/tests/tier/test_pulling.py
@@ -8,6 +8,7 @@
 import unittest
 from collections.abc import Coroutine
 from typing import Any, cast
+from unittest import mock
 
 from heronstall.distribution.freshness import MARGIN, TOLD_WITHIN, KnowledgeLimits
 from heronstall.distribution.view import View
@@ -26,6 +27,7 @@
     def __init__(self, tier: ControlNodes) -> None:
         self._tier = tier
         self.mood = "well"
+        self.answers_at = 0.0  # of one that is late
         self.calls: list[float] = []
         self.under_way = 0
 
@@ -43,6 +45,8 @@
         if self.mood == "silent":
             await asyncio.sleep(within)
             return LOST
+        if self.mood == "late":
+            await asyncio.sleep(max(0.0, self.answers_at - time.monotonic()))
         if self.mood == "refusing":
             return LOST
         if self.mood == "unsure":
@@ -190,6 +194,39 @@
 
         self.play(run())
 
+    def test_answers_that_come_at_one_moment_are_all_taken(self) -> None:
+        async def run() -> None:
+            for helpful in ("well", "unsure"):
+                nodes = ControlNodes("abc")
+                puller = await self.begun(nodes)
+                late = nodes.nodes[puller._at]
+                late.mood = "late"
+                late.answers_at = time.monotonic() + 2 * HOLD + LATE + TRIP  # as the one asked beside it
+                for node in nodes.nodes.values():
+                    if node is not late:
+                        node.mood, node.answers_at = "late", late.answers_at
+                await asyncio.sleep(2 * HOLD + LATE + 1.0)
+                for node in nodes.nodes.values():
+                    node.mood = helpful
+                await asyncio.sleep(0.2)
+                for node in nodes.nodes.values():
+                    node.mood = "well"
+                nodes.version = 2
+                self.assertLess(await self.seconds_to(puller, 2), HOLD + LATE + 0.2)
+
+        self.play(run())
+
+    def test_an_answer_that_cannot_be_taken_ends_one_round_alone(self) -> None:
+        async def run() -> None:
+            nodes = ControlNodes("abc")
+            puller = await self.begun(nodes)
+            with mock.patch.object(View, "take", side_effect=ValueError("malformed")):
+                await asyncio.sleep(1.0)
+            nodes.version = 2
+            self.assertLess(await self.seconds_to(puller, 2), HOLD + 0.3)
+
+        self.play(run())
+
     def test_a_dead_node_is_given_up_in_the_end(self) -> None:
         async def run() -> None:
             nodes = ControlNodes("a")
--- a/tests/tier/test_second_losses.py
+++ b/tests/tier/test_second_losses.py
@@ -1,7 +1,7 @@
 """After each step of a repair, a replacement or a retire: which further loss is borne.
 
 Two drivers bring groups back to their wanted voters: core nodes replace by themselves (`wanted_voters`),
-batch groups follow a placement. A run of each is cut at every state that differs; a further loss strikes there.
+batch groups follow a placement. At every state of a run that differs a further loss strikes.
 """
 
 from __future__ import annotations
