--- a/tests/tier/test_hosting.py
+++ b/tests/tier/test_hosting.py
@@ -201,6 +201,7 @@
     async def test_only_a_leader_that_a_majority_answers_now_is_confirmed(self) -> None:
         self.turn()
         leader = self.leader()
+        self.now += 0.001  # what was sent before the call says nothing
         with mock.patch("heronstall.controlplane.hosting.CONFIRM_LOOK", 0):
             confirmed = asyncio.create_task(leader.confirm(GROUP, 5.0))
             for _ in range(5):
