One end check for all walks of a replica group; unused parts of the models removed

Never used: register_history.parts, SimulatedCore.members, Machine.restarted_at.

Change: Cluster.check_nothing_lost and Cluster.check_lease serve all. Nothing that is asked has changed.

--- a/tests/tier/cluster.py
+++ b/tests/tier/cluster.py
@@ -183,11 +183,24 @@
             holder = self.leaders.setdefault(replica.term, node.identity)
             if holder != node.identity:
                 raise Violation(f"term {replica.term}: {holder} and {node.identity} lead")
-        if replica.holds_lease(self.clock(node.name)):
+        self.check_lease(node)
+
+    def check_lease(self, node: Node) -> None:
+        """Whoever may serve has every acknowledged command."""
+        if node.replica.holds_lease(self.clock(node.name)):
             missing = [c for c in self.acknowledged if c not in node.machine.commands]
             if missing:
                 raise Violation(f"{node.identity} may serve and has not {missing}")
 
+    def check_nothing_lost(self) -> None:
+        """After calm time one node may serve, and it has every acknowledged command."""
+        leader = self.leader()
+        if leader is None:
+            raise Violation("no leader after calm seconds")
+        lost = [c for c in self.acknowledged if c not in leader.machine.commands]
+        if lost:
+            raise Violation(f"acknowledged and lost: {lost}")
+
     def _boot(self, name: str, incarnation: int, disk: Disk) -> Node:
         machine = Machine()
         image = disk.image()
--- a/tests/tier/core_simulation.py
+++ b/tests/tier/core_simulation.py
@@ -176,7 +176,6 @@
     settings: NodeSettings
     core: Core | None = None
     api: ControlApi | None = None
-    restarted_at: float = 0.0
 
     @property
     def address(self) -> str:
@@ -254,7 +253,6 @@
         core = Core(machine.settings)
         cast(SimulatedLinks, core.links).source = machine.address
         machine.core, machine.api = core, ControlApi(core)
-        machine.restarted_at = time.monotonic()
         await core.start()
 
     def kill(self, ip: str, power: bool) -> None:
@@ -293,11 +291,6 @@
         await self.boot(new)
         return new
 
-    def members(self, ip: str) -> set[str]:
-        """The voters of the configuration's group by a node's log."""
-        core = self.machines[ip].core
-        return set(core.replica(CONFIG).log.members) if core else set()
-
     def whole(self) -> bool:
         """Whether every running node knows just the running nodes as voters of all groups."""
         cores = [m.core for m in self.machines.values() if m.core]
--- a/tests/tier/register_history.py
+++ b/tests/tier/register_history.py
@@ -83,15 +83,3 @@
             if after is not None and not (call.answer is Answer.UNCLEAR and after is register):
                 waiting.append((done | {n}, after))
     return False
-
-
-def parts(calls: Sequence[Call]) -> list[list[Call]]:
-    """The history cut where nothing is under way: not used across unclear calls, which never end."""
-    found: list[list[Call]] = []
-    until = -FOREVER
-    for call in sorted(calls, key=lambda c: c.start):
-        if call.start > until or not found:
-            found.append([])
-        found[-1].append(call)
-        until = max(until, call.end)
-    return found
--- a/tests/tier/rough_cluster.py
+++ b/tests/tier/rough_cluster.py
@@ -210,20 +210,6 @@
         self._check_leader(node)
         self.check_told(node)
 
-    def _check_leader(self, node: Node) -> None:
-        replica = node.replica
-        if replica.role.value == "leader":
-            holder = self.leaders.setdefault(replica.term, node.identity)
-            if holder != node.identity:
-                raise Violation(f"term {replica.term}: {holder} and {node.identity} lead")
-        self.check_lease(node)
-
-    def check_lease(self, node: Node) -> None:
-        if node.replica.holds_lease(self.clock(node.name)):
-            missing = [c for c in self.acknowledged if c not in node.machine.commands]
-            if missing:
-                raise Violation(f"{node.identity} may serve and has not {missing}")
-
     def check_told(self, node: Node) -> None:
         """What is told to readers holds all that was acknowledged until so long ago."""
         if node.replica.in_touch(self.clock(node.name), TOLD_WITHIN):
--- a/tests/tier/test_replication.py
+++ b/tests/tier/test_replication.py
@@ -28,12 +28,7 @@
         changed = [n for n, node in cluster.nodes.items() if node.incarnation != before[n]]
         wiped = changed[0] if changed else wiped
     cluster.run(8.0)
-    leader = cluster.leader()
-    if leader is None:
-        raise Violation("no leader after eight calm seconds")
-    lost = [c for c in cluster.acknowledged if c not in leader.machine.commands]
-    if lost:
-        raise Violation(f"acknowledged and lost: {lost}")
+    cluster.check_nothing_lost()
     return cluster
 
 
--- a/tests/tier/test_second_losses.py
+++ b/tests/tier/test_second_losses.py
@@ -121,12 +121,10 @@
     """Strike, wait, and find a leader that has every acknowledged command."""
     group.strike(name, loss)
     group.turn(CALM)
-    leader = group.leader()
-    if leader is None:
-        raise Violation(f"{name} {loss.value}: no leader")
-    missing = [c for c in group.acknowledged if c not in leader.machine.commands]
-    if missing:
-        raise Violation(f"{name} {loss.value}: {missing} lost")
+    try:
+        group.check_nothing_lost()
+    except Violation as violation:
+        raise Violation(f"{name} {loss.value}: {violation}") from None
 
 
 class SecondLosses(unittest.TestCase):
