A dispatcher's drain is logged: its begin, the front's close, requests after it, its end

Cause: the two hypotheses of the incident (a request read but not counted; a connection not yet listed) could not be told apart: a drain logged nothing. No change of what a drain does.

--- a/heronstall/dataplane/ingress.py
+++ b/heronstall/dataplane/ingress.py
@@ -40,6 +40,7 @@
         self.routes = Routes()
         self.draining = False
         self.active = 0
+        self.told_to_end: set[object] = set()  # connections that were open when the front was closed
         self.answered_at: dict[object, float] = {}  # by connection, steady time
         self._forwarder, self._batch, self._random = forwarder, batch, rng
         self._deferred = deferred
@@ -53,6 +54,9 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         self.active += 1
+        if self.told_to_end:
+            listed = request.protocol in self.told_to_end
+            log.warning("request begun after the front was closed", listed=listed)
         try:
             response = await self._answer(request)
         except Broken:
--- a/heronstall/dataplane/node.py
+++ b/heronstall/dataplane/node.py
@@ -86,6 +86,7 @@
         """Leave without a cut answer: out of the platform's list, then no more connections, then the end."""
         began = time.monotonic()
         self.ingress.drain()
+        log.info("drain begun", connections=len(self._front_connections()), requests=self.ingress.active)
         await self.runner.stop()
         await asyncio.sleep(LEAVE_AFTER)
         await self._close_front()
@@ -93,9 +94,20 @@
         while time.monotonic() < until and (self.ingress.active or self.runner.running):
             await asyncio.sleep(0.05)
         await asyncio.sleep(0.1)
+        log.info(
+            "drain ended",
+            seconds=round(time.monotonic() - began, 3),
+            connections=len(self._front_connections()),
+            requests=self.ingress.active,
+        )
         for task in self._tasks:
             task.cancel()
 
+    def _front_connections(self) -> list[Any]:
+        """Open connections of clients."""
+        server = self._runners[0].server if self._runners else None
+        return list(server.connections) if server is not None else []
+
     async def _sweep(self) -> None:
         """Close connections on which no whole head has come for the configured time."""
         while True:
@@ -116,12 +128,22 @@
         front = self._runners[0]
         for site in list(front.sites):
             await site.stop()
-        assert front.server is not None
-        for connection in list(front.server.connections):
+        resting = waiting = 0
+        for connection in self._front_connections():
+            self.ingress.told_to_end.add(connection)
             if _rests(connection):
+                resting += 1
                 connection.force_close()  # close() alone leaves it open, with nobody to answer
             else:
+                waiting += bool(connection._messages)
                 connection.close()
+        log.info(
+            "front closed",
+            resting=resting,
+            others=len(self.ingress.told_to_end) - resting,
+            not_begun=waiting,
+            requests=self.ingress.active,
+        )
 
     def _session(self) -> Session:
         address = f"{self.settings.ip}:{self.settings.port}"
