Failing tests: requests read or half read as a draining dispatcher closes its front

Cause, shown by forced orders: what is read in the turns before the close is cut or left open. Of a request that is half read, the head is dropped, or the rest of the body is never taken. The summary of known reds no longer says that a test passes of which a subtest failed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -59,7 +59,8 @@
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter, config: pytest.Config) -> None:
     """Print each test that is known to fail, and whether it still does."""
     known = config.stash.get(KNOWN, {})
-    passed = {report.nodeid for report in terminalreporter.stats.get("xpassed", [])}
+    failed = {report.nodeid for report in terminalreporter.stats.get("xfailed", [])}  # subtests of it too
+    passed = {report.nodeid for report in terminalreporter.stats.get("xpassed", [])} - failed
     for one in known.values():
         word = "PASSES, to be removed" if one.test in passed else "known to fail"
         terminalreporter.write_line(f"{FILE}: {word}: {one.test} ({one.cause}; issue {one.issue})")
--- /dev/null
+++ b/tests/tier/test_drain.py
@@ -0,0 +1,187 @@
+"""A dispatcher that is told to end owes an answer to each request that it has read.
+
+Seen in service: during rolling restarts a request, read whole and passed on to a worker, lost its answer in
+the middle, 100 ms after the draining dispatcher had closed its front, 5 s before its grace time was over.
+The drain counted requests whose handler had begun. One whose bytes had been read in the same turn of the
+event loop was not counted yet, so the process took itself for idle and ended.
+Proof: with the bytes forced to arrive some turns before the close, the answer is cut for some numbers of
+turns and whole for the others.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import tempfile
+import time
+import unittest
+from collections.abc import Awaitable, Callable, Iterable
+from pathlib import Path
+from unittest import mock
+
+import ujson
+
+from heronstall.config import node_settings
+from heronstall.dataplane.node import EdgeNode
+from heronstall.dataplane.routing import read_routes
+from heronstall.lab.tier.client import HOST, SERVICE, STREAM, configuration
+from heronstall.lab.tier.plan import FRONT, Plan, drawn
+from heronstall.lab.tier.worker import Worker, text_of
+from heronstall.transport.messages import Worker as Entry
+
+TURNS = range(12)  # of the event loop, between the arrival of bytes and the order to end
+BETWEEN_EVENTS = 0.06  # seconds: an answer takes three times as long as an idle dispatcher to end
+LATER = 0.05  # seconds after the close at which a client sends the rest
+BODY = b"p" * 600
+
+
+def request(name: str, body: bytes = BODY) -> bytes:
+    """A streamed request as bytes."""
+    head = (
+        f"POST {STREAM}x HTTP/1.1\r\nHost: {HOST}\r\nHeronstall-Request-Id: {name}\r\n"
+        f"Heronstall-Deadline-Ms: 5000\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+class Caller:
+    """A client on a raw socket, whose bytes are at the dispatcher's machine as soon as they are sent."""
+
+    def __init__(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self._socket = socket.create_connection((host, int(port)))
+        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._socket.setblocking(False)
+        self.received = b""
+        self.ended = False
+
+    def send(self, data: bytes) -> None:
+        """Send at once; what the dispatcher has closed takes nothing."""
+        with contextlib.suppress(ConnectionError):
+            self._socket.sendall(data)
+
+    def take(self) -> None:
+        """Take what has come."""
+        with contextlib.suppress(BlockingIOError):
+            try:
+                while piece := self._socket.recv(1 << 16):
+                    self.received += piece
+            except ConnectionError:
+                pass
+            self.ended = True
+
+    def close(self) -> None:
+        """End the connection."""
+        self._socket.close()
+
+    def answered(self, name: str) -> bool:
+        """Whether the whole answer to a request has come."""
+        events = b"".join(f"id: {n}\ndata: {name}-{n}\n\n".encode() for n in range(1, 6))
+        text = b"".join(self.received.split(b"\r\n")[1:])  # chunk sizes stand between the events
+        assert text_of(name).count("\n") == 4
+        return all(line in text for line in events.split(b"\n\n") if line)
+
+    def fault(self, name: str, owed: bool) -> str:
+        """What is wrong with the end of a request, to which a worker's answer is owed or not."""
+        if owed and not (self.answered(name) and self.received.endswith(b"0\r\n\r\n")):
+            return f"its answer is cut after {self.received[-40:]!r}"
+        if not owed and self.received:
+            return f"no worker ran it, and the answer is {self.received[:40]!r}"
+        return "" if self.ended else "its connection was left open"
+
+
+Scene = Callable[[EdgeNode, Caller, int], Awaitable[None]]
+
+
+class Dispatcher:
+    """A dispatcher with a route and one worker, and no control plane."""
+
+    def __init__(self, plan: Plan) -> None:
+        self.worker = Worker(plan.workers[0], "i-1", BETWEEN_EVENTS)
+        self.front = f"{plan.edges[0]}:{FRONT}"
+        self.node = EdgeNode(node_settings(str(plan.write_settings(plan.edges[0], False, {}))))
+        self.node.ingress.routes = read_routes(ujson.dumps(configuration(2)).encode())
+        self.node.puller.known_at = time.monotonic()
+        entry = Entry(id="i-1", service=SERVICE, address=self.worker.address, state="ready", capacity=8)
+        self.node.pool.update({"i-1": entry})
+
+    async def start(self) -> None:
+        await self.worker.start()
+        await self.node.start()
+
+
+async def turns(count: int) -> None:
+    """Let the event loop go round so many times."""
+    for _ in range(count):
+        await asyncio.sleep(0)
+
+
+class Drain(unittest.IsolatedAsyncioTestCase):
+    async def played(self, count: int, scene: Scene) -> tuple[Caller, Worker]:
+        """One drain, with a scene round its begin; the caller as it stands when the process would end."""
+        folder = tempfile.TemporaryDirectory(prefix="heronstall-")
+        self.addCleanup(folder.cleanup)
+        dispatcher = Dispatcher(drawn(Path(folder.name)))
+        await dispatcher.start()
+        self.addAsyncCleanup(dispatcher.worker.stop)
+        caller = Caller(dispatcher.front)
+        self.addCleanup(caller.close)
+        await scene(dispatcher.node, caller, count)
+        caller.take()
+        return caller, dispatcher.worker
+
+    async def each(
+        self, scene: Scene, names: Iterable[str], counts: Iterable[int] = TURNS, owed: bool = False
+    ) -> list[str]:
+        """Play a scene for each number of turns: what is wrong with the ends of its requests.
+
+        What was passed on is whole; what was not, unless an answer is `owed`, has its connection closed.
+        """
+        with mock.patch("heronstall.dataplane.node.LEAVE_AFTER", 0.0):
+            played = await asyncio.gather(*(self.played(count, scene) for count in counts))
+        return [
+            f"{name} after {count} turns: {fault}"
+            for count, (caller, worker) in zip(counts, played, strict=True)
+            for name in names
+            if (fault := caller.fault(name, owed or name in worker.runs))
+        ]
+
+    async def test_a_request_that_is_read_as_the_front_closes_is_answered(self) -> None:
+        async def kept(node: EdgeNode, caller: Caller, count: int) -> None:
+            await turns(8)  # the connection is up and rests
+            caller.send(request("r1"))
+            await turns(count)
+            await node.stop()
+
+        async def new(node: EdgeNode, caller: Caller, count: int) -> None:
+            caller.send(request("r1"))
+            await turns(count)
+            await node.stop()
+
+        self.assertEqual([await self.each(kept, ["r1"]), await self.each(new, ["r1"])], [[], []])
+
+    async def test_a_request_of_which_a_part_is_read_is_answered(self) -> None:
+        whole = request("r1")
+
+        def cut_at(length: int) -> Scene:
+            async def scene(node: EdgeNode, caller: Caller, count: int) -> None:
+                await turns(8)
+                caller.send(whole[:length])
+                await turns(count)
+                ending = asyncio.create_task(node.stop())
+                await asyncio.sleep(LATER)
+                caller.send(whole[length:])
+                await ending
+
+            return scene
+
+        faults = []
+        for length in (1, 20, len(whole) - len(BODY) - 1, len(whole) - len(BODY), len(whole) - 1):
+            found = await self.each(cut_at(length), ["r1"], [6], owed=True)
+            faults += [f"{length} bytes read, {fault}" for fault in found]
+        self.assertEqual(faults, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
