A node ends when its connections have: what is owed is read off them, not counted

Cause: a drain counted handlers. A request read in the two turns of the event loop before its handler began, one on a connection not listed yet, or one whose body was coming in was not seen: the process took itself for idle, or the library dropped the bytes. Change: transport/http_server.py, one server for dispatchers and core nodes, ends when no connection is open. A connection is closed when nothing is in hand, half read or unread in its socket; answers end theirs while it drains, but not with a request read behind. What is in hand when the grace time runs out gets 503 where nothing ran, else 504. Core nodes answer the calls that they have read before they hand over.

--- a/heronstall/controlplane/__main__.py
+++ b/heronstall/controlplane/__main__.py
@@ -6,38 +6,28 @@
 
 # isort: split
 import asyncio
-from typing import Any
+import time
 
 import click
 
 from heronstall.config import NodeSettings
 from heronstall.tier_process import ending, settings_option, settings_or_exit
 
+LAST_MOMENT = 1.0  # seconds of the grace time that are kept for handing the leaderships over
 
-async def _core(settings: NodeSettings, ended: asyncio.Event) -> None:
-    from aiohttp import web
 
+async def _core(settings: NodeSettings, ended: asyncio.Event) -> None:
     from heronstall.controlplane.api import CONFIG_BYTES, ControlApi
     from heronstall.controlplane.core import Core
+    from heronstall.transport.http_server import HttpServer
 
     core = Core(settings)
     await core.start()
-    api = ControlApi(core)
-    loop = asyncio.get_running_loop()
-
-    def request(message: Any, payload: Any, protocol: Any, writer: Any, task: Any) -> web.BaseRequest:
-        return web.BaseRequest(message, payload, protocol, writer, task, loop, client_max_size=CONFIG_BYTES)
-
-    server = web.Server(
-        api.handle, request_factory=request, access_log=None, max_line_size=65536, max_field_size=65536
-    )
-    runner = web.ServerRunner(server)
-    await runner.setup()
-    host, _, port = settings.listen["control"].rpartition(":")
-    await web.TCPSite(runner, host, int(port), reuse_address=True, shutdown_timeout=0.1).start()
+    api = HttpServer(ControlApi(core).handle, lambda: CONFIG_BYTES)
+    await api.listen(settings.listen["control"])
     await ended.wait()
+    await api.finish(time.monotonic() + settings.bounds.grace - LAST_MOMENT)
     await core.stop()
-    await runner.cleanup()
 
 
 async def _storage(settings: NodeSettings, ended: asyncio.Event) -> None:
--- a/heronstall/dataplane/forwarding.py
+++ b/heronstall/dataplane/forwarding.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from functools import cached_property
 
@@ -75,6 +75,11 @@
     tried: set[str] = field(default_factory=set)
     attempt: Attempt | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a worker may have run it."""
+        return bool(self.runs) or self.attempt is not None
+
     @property
     def may_repeat(self) -> bool:
         """Whether another run would be allowed after the next."""
@@ -122,9 +127,14 @@
 class Forwarder:
     """Carries requests to workers."""
 
-    def __init__(self, pool: WorkerPool, admission: Admission) -> None:
+    def __init__(
+        self,
+        pool: WorkerPool,
+        admission: Admission,
+        closes_after: Callable[[web.BaseRequest], bool] = lambda request: False,
+    ) -> None:
         self._pool, self._admission = pool, admission
-        self.draining = False  # clients are told that their connection ends with the answer
+        self._closes_after = closes_after  # whether an answer is to be its connection's last
 
     async def carry(self, passage: Passage) -> web.StreamResponse:
         """Serve a request: the worker's answer, or one of our own."""
@@ -247,7 +257,7 @@
         body = await answer.read()
         response = PassedResponse(answer.status, answer.reason, answer_headers(answer))
         response.content_length = len(body)
-        if self.draining:
+        if self._closes_after(passage.request):
             response.force_close()
         await response.prepare(passage.request)
         await response.write(body)
@@ -261,7 +271,7 @@
                 passage.response.content_length = answer.content_length
             else:
                 passage.response.enable_chunked_encoding()
-            if self.draining:
+            if self._closes_after(passage.request):
                 passage.response.force_close()
             await passage.response.prepare(passage.request)
         return passage.response
--- a/heronstall/dataplane/ingress.py
+++ b/heronstall/dataplane/ingress.py
@@ -6,6 +6,8 @@
 import random
 import time
 from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import NoReturn
 
 import structlog
 from aiohttp import web
@@ -25,6 +27,15 @@
 PATIENCE = 60.0  # seconds, where a client names no deadline
 
 
+@dataclass(eq=False)
+class InHand:
+    """A request that is being handled."""
+
+    limit: asyncio.Timeout = field(init=False)
+    begun: bool = False  # something beyond this process may know of it
+    passage: Passage | None = None  # on a live route
+
+
 class Ingress:
     """Answers clients."""
 
@@ -38,10 +49,7 @@
         limits: KnowledgeLimits,
     ) -> None:
         self.routes = Routes()
-        self.draining = False
-        self.active = 0
-        self.told_to_end: set[object] = set()  # connections that were open when the front was closed
-        self.answered_at: dict[object, float] = {}  # by connection, steady time
+        self._in_hand: set[InHand] = set()
         self._forwarder, self._batch, self._random = forwarder, batch, rng
         self._deferred = deferred
         self._knowledge_age, self._limits = knowledge_age, limits
@@ -51,53 +59,79 @@
         """Whether a configuration is known, and none that is much newer can be in force."""
         return bool(self.routes.revision) and self._knowledge_age() < self._limits.serve
 
+    @property
+    def active(self) -> int:
+        """Requests that are being handled."""
+        return len(self._in_hand)
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
-        self.active += 1
-        if self.told_to_end:
-            listed = request.protocol in self.told_to_end
-            log.warning("request begun after the front was closed", listed=listed)
+        in_hand = InHand()
         try:
-            response = await self._answer(request)
+            async with asyncio.timeout(None) as in_hand.limit:
+                self._in_hand.add(in_hand)
+                return await self._answer(request, in_hand)
         except Broken:
-            if request.transport is not None:
-                request.transport.abort()
-            raise asyncio.CancelledError from None
+            return self._abort(request)
+        except TimeoutError:
+            return self._given_up(request, in_hand)
         finally:
-            self.active -= 1
-            self.answered_at[request.protocol] = time.monotonic()
-        return response
-
-    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+            self._in_hand.discard(in_hand)
+
+    def give_up(self) -> None:
+        """End what is being handled: the process ends in a moment, and a cut connection tells nothing."""
+        now = asyncio.get_running_loop().time()
+        for in_hand in self._in_hand:
+            in_hand.limit.reschedule(now)
+
+    def _given_up(self, request: web.BaseRequest, in_hand: InHand) -> web.StreamResponse:
+        """The last answer to a request that was given up. What may have run gets no promise."""
+        if not in_hand.begun or (in_hand.passage is not None and not in_hand.passage.may_have_run):
+            return refusal()
+        if in_hand.passage is not None and in_hand.passage.response is not None:
+            return self._abort(request)
+        return failure(504)
+
+    @staticmethod
+    def _abort(request: web.BaseRequest) -> NoReturn:
+        """Cut the connection, so that what was sent of an answer does not look whole."""
+        if request.transport is not None:
+            request.transport.abort()
+        raise asyncio.CancelledError from None
+
+    async def _answer(self, request: web.BaseRequest, in_hand: InHand) -> web.StreamResponse:
         arrived = time.monotonic()
         if not self.may_serve:
-            return self._closing(refusal(STARTING))
+            return refusal(STARTING)
         try:
             async with asyncio.timeout(BODY_WITHIN):
                 body = await request.read()
         except TimeoutError:
-            return self._closing(failure(408))
+            return failure(408)
         except web.HTTPRequestEntityTooLarge:
-            return self._closing(failure(413))
+            return failure(413)
         if _head_bytes(request) > self.routes.limits.header_bytes:
-            return self._closing(failure(431))
+            return failure(431)
         host = request.headers.get("Host", "")
         path = request.raw_path.partition("?")[0]
         if path.startswith("/-/"):
-            return self._closing(await self._batch_call(request, host, path))
+            in_hand.begun = True
+            return await self._batch_call(request, host, path)
         route = self.routes.find(host, path)
         if route is None:
             newest = self._knowledge_age() < self._limits.refuse
-            return self._closing(failure(404) if newest else refusal(STARTING))
+            return failure(404) if newest else refusal(STARTING)
         if route.type is RouteType.BATCH:
-            return self._closing(await self._batch.submit(request, route, body))
+            in_hand.begun = True
+            return await self._batch.submit(request, route, body)
         patience = min(_deadline(request), route.timeout)
         if self._deferred.switch.busy and self.routes.deferrable(route):
             aim = arrived + route.target_latency
             await self._deferred.wait(0, aim, arrived + DUE_SHARE * route.target_latency, lambda: True)
         service = route.service(self._random)
         passage = Passage(request, route, service, body, arrived + patience, arrived)
-        return self._closing(await self._forwarder.carry(passage))
+        in_hand.begun, in_hand.passage = True, passage
+        return await self._forwarder.carry(passage)
 
     async def _batch_call(self, request: web.BaseRequest, host: str, path: str) -> web.StreamResponse:
         if path.startswith(LOTS) and request.method == "GET":
@@ -108,15 +142,6 @@
             return await self._batch.body(request, host, path.removeprefix(ITEMS))
         return failure(404)
 
-    def drain(self) -> None:
-        """Have every connection end with its next answer."""
-        self.draining = self._forwarder.draining = True
-
-    def _closing(self, response: web.StreamResponse) -> web.StreamResponse:
-        if self.draining and not response.prepared:
-            response.force_close()
-        return response
-
 
 def _head_bytes(request: web.BaseRequest) -> int:
     return sum(len(name) + len(value) + 4 for name, value in request.raw_headers)
--- a/heronstall/dataplane/node.py
+++ b/heronstall/dataplane/node.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 import time
-from typing import Any
 
 import structlog
 from aiohttp import web
@@ -24,6 +23,7 @@
 from heronstall.distribution.freshness import KnowledgeLimits
 from heronstall.distribution.view import View
 from heronstall.sessions.loads import pack
+from heronstall.transport.http_server import HttpServer
 from heronstall.transport.links import Links
 from heronstall.transport.messages import Session
 from heronstall.transport.pulling import Puller
@@ -33,6 +33,8 @@
 LEAVE_AFTER = 2.3  # seconds of not being ready until clients have gone elsewhere
 SWEEP = 1.0  # seconds between looks for connections that rest too long
 LAST_MOMENT = 0.6  # seconds of the grace time that are kept for the end
+GIVEN_UP_WITHIN = 0.3  # seconds of these in which clients are told of what has been given up
+REPORTS_WITHIN = 0.1  # seconds in which the last items' reports are sent
 
 
 class EdgeNode:
@@ -50,7 +52,7 @@
         self.runner = BatchRunner(
             settings.name, shards, self.admission, self.deferred, lambda: self.ingress.routes
         )
-        forwarder = Forwarder(self.pool, self.admission)
+        forwarder = Forwarder(self.pool, self.admission, lambda request: self.front.closes_after(request))
         bounds = settings.bounds
         self.ingress = Ingress(
             forwarder,
@@ -66,8 +68,14 @@
 
         self.puller = Puller(self.links, self.view, self._session, seeds, self._news, self._answered)
         self._tasks: list[asyncio.Task[None]] = []
-        self._runners: list[web.ServerRunner] = []
-        self._seen: dict[Any, float] = {}  # front connections: their latest answer, or when first seen
+        self.front = HttpServer(
+            self.ingress.handle,
+            lambda: self.ingress.routes.limits.body_bytes,
+            auto_decompress=False,
+            lingering_time=1.0,
+            handler_cancellation=True,
+        )
+        self._readiness = HttpServer(self._ready, lambda: 0)
 
     async def start(self) -> None:
         """Begin to pull the control state and to listen."""
@@ -79,71 +87,47 @@
             self._sweep(),
         )
         self._tasks = [asyncio.create_task(run) for run in runs]
-        await self._listen("front", self.ingress.handle, handler_cancellation=True)
-        await self._listen("readiness", self._ready)
+        await self.front.listen(self.settings.listen["front"])
+        await self._readiness.listen(self.settings.listen["readiness"])
 
     async def stop(self) -> None:
         """Leave without a cut answer: out of the platform's list, then no more connections, then the end."""
         began = time.monotonic()
-        self.ingress.drain()
-        log.info("drain begun", connections=len(self._front_connections()), requests=self.ingress.active)
+        until = began + self.settings.bounds.grace - LAST_MOMENT
+        self.front.ending = True
+        self._tell_drain("begun", began)
         await self.runner.stop()
         await asyncio.sleep(LEAVE_AFTER)
-        await self._close_front()
-        until = began + self.settings.bounds.grace - LAST_MOMENT
-        while time.monotonic() < until and (self.ingress.active or self.runner.running):
+        self._tell_drain("front closes", began)
+        await self.front.finish(until)
+        while time.monotonic() < until and self.runner.running:
             await asyncio.sleep(0.05)
-        await asyncio.sleep(0.1)
+        if self.front.connections:
+            self._tell_drain("gives up", began)
+            self.ingress.give_up()
+            await self.front.finish(time.monotonic() + GIVEN_UP_WITHIN)
+        self.pool.close()
+        await asyncio.sleep(REPORTS_WITHIN)
+        self._tell_drain("ended", began)
+        for task in self._tasks:
+            task.cancel()
+
+    def _tell_drain(self, step: str, began: float) -> None:
+        connections = self.front.connections
         log.info(
-            "drain ended",
+            "drain",
+            step=step,
             seconds=round(time.monotonic() - began, 3),
-            connections=len(self._front_connections()),
+            connections=len(connections),
+            resting=sum(connection.rests for connection in connections),
             requests=self.ingress.active,
         )
-        for task in self._tasks:
-            task.cancel()
-
-    def _front_connections(self) -> list[Any]:
-        """Open connections of clients."""
-        server = self._runners[0].server if self._runners else None
-        return list(server.connections) if server is not None else []
 
     async def _sweep(self) -> None:
         """Close connections on which no whole head has come for the configured time."""
         while True:
             await asyncio.sleep(SWEEP)
-            front = self._runners[0].server if self._runners else None
-            if front is None:
-                continue
-            now, answered = time.monotonic(), self.ingress.answered_at
-            self._seen = {c: answered.pop(c, self._seen.get(c, now)) for c in front.connections}
-            answered.clear()
-            most = self.ingress.routes.limits.idle_timeout + SWEEP
-            for connection, since in self._seen.items():
-                if now - since > most and _rests(connection):
-                    connection.force_close()
-
-    async def _close_front(self) -> None:
-        """Take no new connection, and end those that rest; the others end with their answer."""
-        front = self._runners[0]
-        for site in list(front.sites):
-            await site.stop()
-        resting = waiting = 0
-        for connection in self._front_connections():
-            self.ingress.told_to_end.add(connection)
-            if _rests(connection):
-                resting += 1
-                connection.force_close()  # close() alone leaves it open, with nobody to answer
-            else:
-                waiting += bool(connection._messages)
-                connection.close()
-        log.info(
-            "front closed",
-            resting=resting,
-            others=len(self.ingress.told_to_end) - resting,
-            not_begun=waiting,
-            requests=self.ingress.active,
-        )
+            self.front.close_idle(self.ingress.routes.limits.idle_timeout + SWEEP)
 
     def _session(self) -> Session:
         address = f"{self.settings.ip}:{self.settings.port}"
@@ -168,34 +152,5 @@
             self.pool.update(self.view.all_workers())
 
     async def _ready(self, request: web.BaseRequest) -> web.StreamResponse:
-        ready = self.ingress.may_serve and not self.ingress.draining
+        ready = self.ingress.may_serve and not self.front.ending
         return web.Response(status=200 if ready else 503)
-
-    async def _listen(self, name: str, handle: Any, **options: Any) -> None:
-        server = web.Server(
-            handle,
-            request_factory=self._request,
-            access_log=None,
-            max_line_size=65536,
-            max_field_size=65536,
-            auto_decompress=False,
-            lingering_time=1.0,
-            **options,
-        )
-        runner = web.ServerRunner(server)
-        await runner.setup()
-        host, _, port = self.settings.listen[name].rpartition(":")
-        site = web.TCPSite(runner, host, int(port), reuse_address=True, backlog=1024, shutdown_timeout=0.1)
-        await site.start()
-        self._runners.append(runner)
-
-    def _request(self, message: Any, payload: Any, protocol: Any, writer: Any, task: Any) -> web.BaseRequest:
-        limit = self.ingress.routes.limits.body_bytes
-        loop = asyncio.get_running_loop()
-        return web.BaseRequest(message, payload, protocol, writer, task, loop, client_max_size=limit)
-
-
-def _rests(connection: Any) -> bool:
-    """Whether a connection waits for a request; aiohttp has no public word for it."""
-    waiter = connection._waiter
-    return waiter is not None and not waiter.done()
--- a/heronstall/dataplane/workers.py
+++ b/heronstall/dataplane/workers.py
@@ -174,6 +174,11 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def close(self) -> None:
+        """End all connections to workers: the process ends."""
+        for worker in self.by_id.values():
+            worker.close()
+
     async def watch(self) -> None:
         """End silent attempts until cancelled."""
         while True:
--- a/tests/tier/test_drain.py
+++ b/tests/tier/test_drain.py
@@ -21,13 +21,16 @@
 from unittest import mock
 
 import ujson
+from aiohttp import web
 
 from heronstall.config import node_settings
+from heronstall.dataplane.forwarding import REQUEST_ID
 from heronstall.dataplane.node import EdgeNode
-from heronstall.dataplane.routing import read_routes
+from heronstall.dataplane.routing import Routes, read_routes
 from heronstall.lab.tier.client import HOST, SERVICE, STREAM, configuration
 from heronstall.lab.tier.plan import FRONT, Plan, drawn
 from heronstall.lab.tier.worker import Worker, text_of
+from heronstall.transport.http_server import Handler
 from heronstall.transport.messages import Worker as Entry
 
 TURNS = range(12)  # of the event loop, between the arrival of bytes and the order to end
@@ -91,16 +94,23 @@
         return "" if self.ended else "its connection was left open"
 
 
+def plain_routes(**changes: object) -> Routes:
+    """Routes on which a request may run again, without streams."""
+    document = configuration(2)
+    document["routes"][0].update({"route_type": "idempotent", **changes})
+    return read_routes(ujson.dumps(document).encode())
+
+
 Scene = Callable[[EdgeNode, Caller, int], Awaitable[None]]
 
 
 class Dispatcher:
     """A dispatcher with a route and one worker, and no control plane."""
 
-    def __init__(self, plan: Plan) -> None:
+    def __init__(self, plan: Plan, bounds: dict[str, float] | None = None) -> None:
         self.worker = Worker(plan.workers[0], "i-1", BETWEEN_EVENTS)
         self.front = f"{plan.edges[0]}:{FRONT}"
-        self.node = EdgeNode(node_settings(str(plan.write_settings(plan.edges[0], False, {}))))
+        self.node = EdgeNode(node_settings(str(plan.write_settings(plan.edges[0], False, bounds or {}))))
         self.node.ingress.routes = read_routes(ujson.dumps(configuration(2)).encode())
         self.node.puller.known_at = time.monotonic()
         entry = Entry(id="i-1", service=SERVICE, address=self.worker.address, state="ready", capacity=8)
@@ -182,6 +192,116 @@
             faults += [f"{length} bytes read, {fault}" for fault in found]
         self.assertEqual(faults, [])
 
+    async def test_requests_sent_behind_another_one_are_answered(self) -> None:
+        async def scene(node: EdgeNode, caller: Caller, count: int) -> None:
+            await turns(8)
+            caller.send(request("r1") + request("r2"))
+            await turns(count)
+            await node.stop()
+
+        self.assertEqual(await self.each(scene, ["r1", "r2"], range(1, 8)), [])
+
+    async def test_a_connection_of_a_stream_that_began_before_ends_with_it(self) -> None:
+        async def scene(node: EdgeNode, caller: Caller, count: int) -> None:
+            caller.send(request("r1"))
+            await asyncio.sleep(1.5 * BETWEEN_EVENTS)
+            began = time.monotonic()
+            await node.stop()
+            self.assertLess(time.monotonic() - began, 5 * BETWEEN_EVENTS + 1.0)
+
+        self.assertEqual(await self.each(scene, ["r1"], [0]), [])
+
+    async def test_the_next_request_on_such_a_connection_is_answered(self) -> None:
+        async def scene(node: EdgeNode, caller: Caller, count: int) -> None:
+            caller.send(request("r1"))
+            await asyncio.sleep(1.5 * BETWEEN_EVENTS)
+            ending = asyncio.create_task(node.stop())
+            while not caller.received.endswith(b"0\r\n\r\n"):
+                await asyncio.sleep(0)
+                caller.take()
+            await turns(count)
+            caller.send(request("r2"))
+            await ending
+
+        self.assertEqual(await self.each(scene, ["r1", "r2"], [0, 1]), [])
+
+    async def test_an_answer_that_waits_for_a_slow_reader_is_sent(self) -> None:
+        size = 16 << 20  # more than the sockets between them hold
+
+        async def large(request: web.BaseRequest) -> web.StreamResponse:
+            return web.Response(body=bytes(size), headers={REQUEST_ID: request.headers[REQUEST_ID]})
+
+        async def scene(node: EdgeNode, caller: Caller, count: int) -> None:
+            node.ingress.routes = plain_routes()
+            caller.send(request("r1"))
+            await asyncio.sleep(0.1)
+            ending = asyncio.create_task(node.stop())
+            await asyncio.sleep(0.4)
+            self.assertFalse(ending.done(), "the process would end with the answer unsent")
+            while not caller.ended:
+                caller.take()
+                await asyncio.sleep(0.01)
+            await ending
+            self.assertEqual(len(caller.received.partition(b"\r\n\r\n")[2]), size)
+
+        with (
+            mock.patch.object(Worker, "_answer", staticmethod(large)),
+            mock.patch("heronstall.dataplane.node.LEAVE_AFTER", 0.0),
+        ):
+            await self.played(0, scene)
+
+
+class GraceTimeOver(unittest.IsolatedAsyncioTestCase):
+    """What is still in hand shortly before SIGKILL is answered, not cut without a word."""
+
+    async def ended(self, behave: Handler | None, routes: Routes) -> bytes:
+        """What a client gets whose request is in hand at a worker, or at none, when the time is over."""
+        with tempfile.TemporaryDirectory(prefix="heronstall-") as folder:
+            dispatcher = Dispatcher(drawn(Path(folder)), {"grace_s": 1.0})
+            dispatcher.node.ingress.routes = routes
+            if behave is None:
+                dispatcher.node.pool.update({})
+            else:
+                self.enterContext(mock.patch.object(Worker, "_answer", staticmethod(behave)))
+            self.enterContext(mock.patch("heronstall.dataplane.node.LEAVE_AFTER", 0.0))
+            await dispatcher.start()
+            caller = Caller(dispatcher.front)
+            caller.send(request("r1"))
+            await asyncio.sleep(0.1)
+            began = time.monotonic()
+            await dispatcher.node.stop()
+            self.assertLess(time.monotonic() - began, 1.0)
+            caller.take()
+            self.assertTrue(caller.ended)
+            caller.close()
+            await dispatcher.worker.stop()
+        return caller.received
+
+    async def test_a_request_for_which_there_is_no_worker_may_come_again(self) -> None:
+        answer = await self.ended(None, plain_routes(target_latency_ms=9_000))
+        self.assertTrue(answer.startswith(b"HTTP/1.1 503"), answer)
+        self.assertIn(b"Retry-After: ", answer)
+
+    async def test_a_request_that_a_worker_may_have_run_is_promised_nothing(self) -> None:
+        async def silent(request: web.BaseRequest) -> web.StreamResponse:
+            await asyncio.sleep(5)
+            return web.Response()
+
+        answer = await self.ended(silent, plain_routes())
+        self.assertTrue(answer.startswith(b"HTTP/1.1 504"), answer)
+
+    async def test_a_stream_under_way_does_not_look_whole(self) -> None:
+        async def endless(request: web.BaseRequest) -> web.StreamResponse:
+            response = web.StreamResponse(headers={REQUEST_ID: request.headers[REQUEST_ID]})
+            await response.prepare(request)
+            await response.write(b"id: 1\ndata: a\n\n")
+            await asyncio.sleep(5)
+            return response
+
+        answer = await self.ended(endless, plain_routes(route_type="streaming"))
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+        self.assertFalse(answer.endswith(b"0\r\n\r\n"), answer)
+
 
 if __name__ == "__main__":
     unittest.main()
