--- a/benchmarks/tier_audit.py
+++ b/benchmarks/tier_audit.py
@@ -28,7 +28,7 @@
 
 from heronstall.distribution.shards import BATCH_SHARDS, CONFIG, WORKER_SHARDS
 from heronstall.lab.tier.client import configuration
-from heronstall.lab.tier.plan import drawn
+from heronstall.lab.tier.plan import Sizes, drawn
 from heronstall.lab.tier.tier import LocalTier
 from heronstall.lab.tier.worker import text_of
 
@@ -84,10 +84,10 @@
 class Run:
     """One run."""
 
-    def __init__(self, folder: Path, kills: int, seed: int) -> None:
+    def __init__(self, folder: Path, kills: int, seed: int, sizes: Sizes | None = None) -> None:
         self._random = random.Random(seed)
         self._kills = kills
-        self.tier = LocalTier(drawn(folder), {"status_s": KEPT})
+        self.tier = LocalTier(drawn(folder, sizes), {"status_s": KEPT})
         self.audit = Audit()
         self._lives: Counter[str] = Counter()
 
--- a/heronstall/lab/tier/plan.py
+++ b/heronstall/lab/tier/plan.py
@@ -11,6 +11,8 @@
 FRONT, READY, CONTROL, INTERNAL, WORKER = 8161, 8167, 8166, 7720, 9000  # ports
 LAST_OCTETS = {"core": 11, "storage": 31, "edge": 51, "worker": 101}  # of the first machine of a kind
 MOST = 20  # machines of a kind: their addresses must not meet
+MOST_EDGES = 200
+EDGES_A_NET = 49  # further ones have addresses in the next nets
 MEMORY_MB, DISK_MB, DESCRIPTORS = 300, 400, 1000
 HEARTBEAT_MS = 600
 GRACE = 8  # seconds that a node may take to end
@@ -32,8 +34,9 @@
 
     def __post_init__(self) -> None:
         for name, least in (("cores", 3), ("stores", 3), ("edges", 1), ("workers", 1)):
-            if not least <= getattr(self, name) <= MOST:
-                raise PlanError(f"{name}: {getattr(self, name)} is not between {least} and {MOST}")
+            most = MOST_EDGES if name == "edges" else MOST
+            if not least <= getattr(self, name) <= most:
+                raise PlanError(f"{name}: {getattr(self, name)} is not between {least} and {most}")
 
     def options(self) -> str:
         """As options of the command line."""
@@ -102,7 +105,9 @@
         return path
 
     def _addresses(self, kind: str, count: int) -> list[str]:
-        return [f"{self.net}.{LAST_OCTETS[kind] + n}" for n in range(count)]
+        first, second, third = (int(part) for part in self.net.split("."))
+        nets = [f"{first}.{second}.{third + n}" for n in range(1 + count // EDGES_A_NET)]
+        return [f"{nets[n // EDGES_A_NET]}.{LAST_OCTETS[kind] + n % EDGES_A_NET}" for n in range(count)]
 
     def _settings(self, ip: str, bootstrap: bool, bounds: dict[str, float]) -> dict[str, Any]:
         machine_class = self.machine_class(ip)
--- a/heronstall/lab/tier/processes.py
+++ b/heronstall/lab/tier/processes.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+import resource
 import shutil
 import signal
 import subprocess
 import sys
 import tempfile
+import time
 from pathlib import Path
 
 from heronstall.controlplane.hosting import GroupHost
@@ -16,6 +19,7 @@
 from heronstall.transport.links import Links
 
 ROOT = Path(__file__).resolve().parents[3]
+LOOK = 0.02  # seconds between looks whether a process has ended
 END_WITHIN = 12.0  # seconds that a node has after SIGTERM
 LOG_LIMIT = 1 << 20  # bytes, of a copy that is only read
 
@@ -40,6 +44,7 @@
     def __init__(self, plan: Plan, bounds: dict[str, float]) -> None:
         self._plan, self._bounds = plan, bounds
         self._running: dict[str, subprocess.Popen[bytes]] = {}
+        self._ending: dict[str, subprocess.Popen[bytes]] = {}  # told to, and awaited
 
     def run(self, ip: str, bootstrap: bool = False) -> None:
         """Start a node's process; what it logs goes to its log file."""
@@ -62,9 +67,36 @@
         process.send_signal(signal.SIGKILL)
         process.wait()
 
+    async def end(self, ip: str) -> int:
+        """Have a process end in order; its exit status, that of SIGKILL where it takes too long."""
+        process = self._ending[ip] = self._running.pop(ip)
+        process.terminate()
+        until = time.monotonic() + END_WITHIN
+        while process.poll() is None and time.monotonic() < until:
+            await asyncio.sleep(LOOK)
+        process.kill()
+        del self._ending[ip]
+        return process.wait()
+
+    def minds_signals(self, ip: str) -> bool:
+        """Whether SIGHUP and SIGTERM have lost their default actions, as in Python's own start."""
+        status = Path(f"/proc/{self._running[ip].pid}/status").read_text(encoding="ascii")
+        masks = dict(line.split(":\t", 1) for line in status.splitlines() if line.startswith("Sig"))
+        handled = int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)
+        return all(handled >> (number - 1) & 1 for number in (signal.SIGHUP, signal.SIGTERM))
+
+    def has_loaded(self, ip: str, library: str) -> bool:
+        """Whether a file whose path holds this name is mapped into a process."""
+        return library in Path(f"/proc/{self._running[ip].pid}/maps").read_text(encoding="utf-8")
+
+    def memory(self) -> int:
+        """Resident bytes of all running processes together."""
+        return sum(_resident(process.pid) for process in self._running.values())
+
     def signal(self, ip: str, number: signal.Signals) -> None:
-        """Send a signal to a process: to stand still, to go on."""
-        self._running[ip].send_signal(number)
+        """Send a signal to a process, also to one that is ending: to stand still, to go on."""
+        process = self._running.get(ip) or self._ending[ip]
+        process.send_signal(number)
 
     def restart(self, ips: list[str], wiped: bool = False) -> None:
         """End some processes at once, all before the first starts again; `wiped`: without their disks."""
@@ -79,6 +111,9 @@
         """End all processes at once."""
         for ip in list(self._running):
             self.kill(ip)
+        for process in self._ending.values():
+            process.kill()
+            process.wait()
 
     def end_all(self) -> None:
         """End all processes in order; those that take too long at once."""
@@ -114,3 +149,12 @@
             shutil.copytree(self._plan.disk(ip), folder)
             host = GroupHost(f"{ip}:{INTERNAL}", folder, Links(), Timing(), False, LOG_LIMIT)
             return host.me in host.add(shard, _Stateless()).log.members
+
+
+def _resident(pid: int) -> int:
+    """Resident bytes of a process; none of one that is gone."""
+    try:
+        pages = int(Path(f"/proc/{pid}/statm").read_text(encoding="ascii").split()[1])
+    except (OSError, IndexError):
+        return 0
+    return pages * resource.getpagesize()
