Signals are minded from a program's first line on

Cause: SIGHUP and SIGTERM kept their default actions until all was loaded, 0.3 s of processor time, so that SIGHUP ended a dispatcher that was being started. What is left: some 60 ms of Python's own start.

--- a/heronstall/controlplane/__main__.py
+++ b/heronstall/controlplane/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heronstall.early_signals  # noqa: F401  (before what takes time)
 import heronstall.without_tls  # noqa: F401  (before what would import ssl)
 
 # isort: split
--- a/heronstall/tier_process.py
+++ b/heronstall/tier_process.py
@@ -69,10 +69,9 @@
 
 
 def ending() -> asyncio.Event:
-    """An event that SIGTERM or an interrupt sets; SIGHUP ends nothing, settings are read when needed."""
+    """An event that SIGTERM or an interrupt sets."""
     ended = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, ended.set)
     loop.add_signal_handler(signal.SIGINT, ended.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
     return ended
