--- a/benchmarks/tier_soak.py
+++ b/benchmarks/tier_soak.py
@@ -37,9 +37,9 @@
 
 SECONDS_MOST = 600
 CLIENTS_AN_EDGE, CLIENTS_MOST = 4, 120
-EDGE_SERIES_SHARE = 0.25  # of the dispatchers: series of restarts that run beside each other
+EDGE_SERIES_SHARE = 0.6  # of the dispatchers: series of restarts that run beside each other
 DOWN = (0.0, 0.4)  # seconds between a node's end and its next start
-UP = (0.2, 3.0)  # seconds between a start and the next SIGTERM of a series
+UP = (0.1, 1.5)  # seconds between a start and the next SIGTERM of a series
 SIGNAL_SHARE = 0.5  # starts and ends during which another signal comes
 CHANGE_EVERY = 0.33  # seconds between changes of the configuration, on average
 PAUSES = (0.0, 0.03, 0.12, 0.4)  # seconds between a worker's events, one a worker
--- a/heronstall/early_signals.py
+++ b/heronstall/early_signals.py
@@ -1,8 +1,8 @@
 """Signals while a program of the tier is being loaded. Imported first, before what takes time.
 
-SIGHUP would end a process that has yet to set its handlers. It tells that the settings file has changed; the
-programs read that when they need it, so the signal is ignored for good. SIGTERM ends a process at once: it has
-taken nothing yet that could be owed to anybody. Later the event loop takes it over.
+SIGHUP would end a process that has yet to set its handlers. It tells that the settings file has changed; that
+is read when it is needed, so the signal is ignored for good. SIGTERM ends a process at once: it has taken
+nothing yet that could be owed to anybody. Later the event loop takes it over.
 """
 
 from __future__ import annotations
