--- a/heronstall/transport/http_server.py
+++ b/heronstall/transport/http_server.py
@@ -17,6 +17,7 @@
 LINE_LIMIT = 65536  # bytes of a line of a head
 BACKLOG = 1024  # connections that may wait to be accepted
 ACCEPTING_TURNS = 3  # of the event loop, from an accepted socket to its listed connection
+HEAD_WITHIN = 3.0  # seconds in which the rest of a head may come while the server ends
 LOOK = 0.02  # seconds between looks for connections that have come to rest
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -28,13 +29,16 @@
     def __init__(self, manager: web.Server, *, loop: asyncio.AbstractEventLoop, **options: Any) -> None:
         super().__init__(manager, loop=loop, **options)
         self.active_at = time.monotonic()  # of its latest answer, or when it came up
-        self._part_of_head = False
+        self._head_since: float | None = None  # steady time at which a part of a head had come
 
     def data_received(self, data: bytes) -> None:
         """Take bytes, and note whether they leave a request's head half read."""
         waited, known = self.waits, len(self._messages)
         super().data_received(data)
-        self._part_of_head = waited and bool(data) and len(self._messages) == known
+        if not waited or len(self._messages) > known:
+            self._head_since = None
+        elif data and self._head_since is None:
+            self._head_since = time.monotonic()
 
     @property
     def waits(self) -> bool:
@@ -48,8 +52,9 @@
 
     @property
     def rests(self) -> bool:
-        """Whether nothing is owed: no request is in hand, read in part, or unread in the socket."""
-        return self.waits and not self._part_of_head and not self._unread
+        """Whether nothing is owed: no request is in hand, on its way in, or unread in the socket."""
+        comes_in = self._head_since is not None and time.monotonic() - self._head_since < HEAD_WITHIN
+        return self.waits and not comes_in and not self._unread
 
     @property
     def _unread(self) -> bool:
