Failing test: a batch item that comes in the turn in which a dispatcher ends

Found while looking for the drain's cause elsewhere: what was decided at the instant of the end. A task that is cancelled before its first turn runs no line of its own, so its item stays held; one that comes after the end waits for a place until the grace time is over.

--- a/tests/tier/test_dataplane.py
+++ b/tests/tier/test_dataplane.py
@@ -570,6 +570,24 @@
         self.assertEqual(told, [["i"], ["i"]])
         self.assertEqual(self.runner._lease_request("batch-0", 0).reported, [])
 
+    async def test_an_item_that_comes_in_the_turn_of_the_end_is_given_back(self) -> None:
+        """The end cancels tasks; one that has not had its first turn runs nothing, not even its own end."""
+        leased = LeasedItem(job="j", item=bytes(BatchItem(id="i")), lease=9)
+        for stops_first in (False, True):
+            with self.subTest(stops_first=stops_first):
+                self.setUp()
+                if stops_first:
+                    await self.runner.stop()
+                    self.runner._start("batch-0", leased)
+                else:
+                    self.runner._start("batch-0", leased)
+                    await self.runner.stop()
+                for _ in range(5):
+                    await asyncio.sleep(0)
+                self.assertEqual(self.runner.running, 0)
+                reports = self.runner._lease_request("batch-0", 0).reported
+                self.assertEqual([(r.item, r.lease) for r in reports], [("i", 9)])
+
     async def polled(self, free_while: str) -> list[int]:
         """What is asked for; a place becomes free at a moment, and the owner holds calls for nothing."""
         asked: list[int] = []
