A dispatcher's end gives back the items that come in its turn, and waits for the last reports

Cause: as in the drain, the end was decided by what was seen at one instant. A task cancelled before its first turn never gave its item back; an item whose call was under way came after the end and waited for a place; reports had 0.1 s, whatever came of them. Change: an item's end is told by its task's end, an item that comes after the end is given back at once, reports are waited for until they are acknowledged, 1 s at the most.

--- a/heronstall/dataplane/batch_runner.py
+++ b/heronstall/dataplane/batch_runner.py
@@ -49,6 +49,8 @@
 UNKNOWN_ROUTE = 0.2  # seconds before an item of a route that was never known here is given back
 IN_TIME, LATE = 0, 1  # ranks in the deferred lane
 FINISH_WITHIN = 2.0  # seconds for one report
+END_LOOK = 0.02  # seconds between looks whether all is done, at the end
+REPORTED_WITHIN = 1.0  # seconds for the last reports
 REPORT_PAUSE = 0.1  # seconds before a report that was not acknowledged is sent again
 
 
@@ -95,6 +97,11 @@
         """Items in hand."""
         return len(self._running)
 
+    @property
+    def unreported(self) -> bool:
+        """Whether an owner has yet to acknowledge the end of an item."""
+        return bool(self._reports or self._sent_reports)
+
     def routes_changed(self) -> None:
         """Poll the shards of all hosts that have batch routes."""
         routes = self._routes()
@@ -128,6 +135,17 @@
             if not item.texts and item.task is not None:
                 item.task.cancel()
 
+    async def finish(self, until: float) -> None:
+        """Return when all items have ended and are reported, or at a steady time.
+
+        Reports that no owner takes are waited for a while only: leases end with this dispatcher's session.
+        """
+        while time.monotonic() < until and self._running:
+            await asyncio.sleep(END_LOOK)
+        until = min(until, time.monotonic() + REPORTED_WITHIN)
+        while time.monotonic() < until and self.unreported:
+            await asyncio.sleep(END_LOOK)
+
     # ------------------------------------------------------------------ leasing
 
     async def _poll(self, shard: str) -> None:
@@ -210,6 +228,10 @@
             return
         item = self._running[key] = Running(leased, request, shard)
         item.task = asyncio.create_task(self._run(key, item))
+        # a task that is cancelled before its first turn runs nothing of its own
+        item.task.add_done_callback(lambda _: self._ended(key, item, Outcome.RETURNED))
+        if self.stopping:
+            item.task.cancel()  # the call for it was under way when the end began
 
     def _end(self, job: str) -> None:
         for key, item in list(self._running.items()):
@@ -226,12 +248,18 @@
         except asyncio.CancelledError:
             pass
         finally:
-            del self._running[key]
-            text = b"\n".join(item.texts) if outcome == Outcome.DONE else b""
-            report = ItemReport(key[0], key[1], outcome, text, item.leased.lease)
-            self._reports.setdefault(item.shard, []).append(report)
-            self._report_news.set()
-            self._free_place()
+            self._ended(key, item, outcome)
+
+    def _ended(self, key: tuple[str, str], item: Running, outcome: Outcome) -> None:
+        """Report the end of an item's run, once."""
+        if self._running.get(key) is not item:
+            return
+        del self._running[key]
+        text = b"\n".join(item.texts) if outcome == Outcome.DONE else b""
+        report = ItemReport(key[0], key[1], outcome, text, item.leased.lease)
+        self._reports.setdefault(item.shard, []).append(report)
+        self._report_news.set()
+        self._free_place()
 
     def _free_place(self) -> None:
         """Wake whoever has seen no free place before."""
--- a/heronstall/dataplane/node.py
+++ b/heronstall/dataplane/node.py
@@ -34,7 +34,7 @@
 SWEEP = 1.0  # seconds between looks for connections that rest too long
 LAST_MOMENT = 0.6  # seconds of the grace time that are kept for the end
 GIVEN_UP_WITHIN = 0.3  # seconds of these in which clients are told of what has been given up
-REPORTS_WITHIN = 0.1  # seconds in which the last items' reports are sent
+CLOSED_WITHIN = 0.05  # seconds in which connections to workers are closed
 
 
 class EdgeNode:
@@ -100,14 +100,13 @@
         await asyncio.sleep(LEAVE_AFTER)
         self._tell_drain("front closes", began)
         await self.front.finish(until)
-        while time.monotonic() < until and self.runner.running:
-            await asyncio.sleep(0.05)
+        await self.runner.finish(until)
         if self.front.connections:
             self._tell_drain("gives up", began)
             self.ingress.give_up()
             await self.front.finish(time.monotonic() + GIVEN_UP_WITHIN)
         self.pool.close()
-        await asyncio.sleep(REPORTS_WITHIN)
+        await asyncio.sleep(CLOSED_WITHIN)
         self._tell_drain("ended", began)
         for task in self._tasks:
             task.cancel()
--- a/tests/tier/test_dataplane.py
+++ b/tests/tier/test_dataplane.py
@@ -576,6 +576,7 @@
         for stops_first in (False, True):
             with self.subTest(stops_first=stops_first):
                 self.setUp()
+                self.runner._deferred.wait = lambda *_: asyncio.sleep(600)  # type: ignore[method-assign]
                 if stops_first:
                     await self.runner.stop()
                     self.runner._start("batch-0", leased)
@@ -588,6 +589,30 @@
                 reports = self.runner._lease_request("batch-0", 0).reported
                 self.assertEqual([(r.item, r.lease) for r in reports], [("i", 9)])
 
+    async def finished(self, acknowledged_after: float) -> float:
+        """Seconds that an end takes with one report that an owner acknowledges so late."""
+        began = time.monotonic()
+
+        async def call(*_: object, **__: object) -> Reply:
+            late = time.monotonic() - began > acknowledged_after
+            return Reply(Status.OK if late else Status.UNSURE)
+
+        self.shards.call = call
+        self.runner._reports["batch-0"] = [ItemReport("j", "i", Outcome.DONE, b"", 7)]
+        self.runner._report_news.set()
+        reporting = asyncio.create_task(self.runner.report())
+        await self.runner.finish(time.monotonic() + 5)
+        reporting.cancel()
+        return time.monotonic() - began
+
+    async def test_the_end_waits_for_the_last_reports_for_a_while(self) -> None:
+        self.assertGreaterEqual(await self.finished(0.3), 0.3)
+        self.assertFalse(self.runner.unreported)
+        self.setUp()
+        with mock.patch("heronstall.dataplane.batch_runner.REPORTED_WITHIN", 0.3):
+            self.assertLess(await self.finished(60.0), 2.0)
+        self.assertTrue(self.runner.unreported)
+
     async def polled(self, free_while: str) -> list[int]:
         """What is asked for; a place becomes free at a moment, and the owner holds calls for nothing."""
         asked: list[int] = []
