--- a/heronstall/overview/ask.py
+++ b/heronstall/overview/ask.py
@@ -95,15 +95,19 @@
 
 
 async def _batch_shard(links: Links, placed: Placement) -> BatchShardView:
-    replicas = await asyncio.gather(*(_replica(links, placed.shard, name) for name in placed.replicas))
-    return BatchShardView(placed.shard, list(replicas))
+    """A shard's replicas, asked again where one is silent, or none is the owner: that may just change."""
+    replicas: list[ReplicaView] = []
+    async for _ in _rounds():
+        replicas = await asyncio.gather(*(_replica(links, placed.shard, name) for name in placed.replicas))
+        silent = any(replica.state is NodeState.SILENT for replica in replicas)
+        if not silent and any(replica.owner for replica in replicas):
+            break
+    return BatchShardView(placed.shard, replicas)
 
 
 async def _replica(links: Links, shard: str, replica: str) -> ReplicaView:
     """A replica: the owner alone knows that there is no job without a name, all others name the owner."""
     request = bytes(ReadRequest(job=NO_JOB, shard=shard))
-    async for _ in _rounds():
-        reply = await links.to(address_of(replica)).call(Kind.READ, request, ANSWER_WITHIN)
-        if reply.status != Status.FAILED:
-            return ReplicaView(replica, NodeState.FINE, owner=reply.status == Status.UNKNOWN)
-    return ReplicaView(replica, NodeState.SILENT)
+    reply = await links.to(address_of(replica)).call(Kind.READ, request, ANSWER_WITHIN)
+    state = NodeState.SILENT if reply.status == Status.FAILED else NodeState.FINE
+    return ReplicaView(replica, state, owner=reply.status == Status.UNKNOWN)
--- a/tests/tier/test_overview.py
+++ b/tests/tier/test_overview.py
@@ -127,6 +127,17 @@
         self.assertIn("batch-0 has no owner", problems)
         self.assertIn(f"batch-0: replica {OWNER}#1 is silent", problems)
 
+    async def test_an_owner_that_comes_back_within_the_rounds_is_seen(self) -> None:
+        """An owner that stood still for longer than its lease leaves its shard without one for a moment."""
+        answers = iter([follower, owner])
+
+        def returning(kind: Kind, body: bytes) -> Reply:
+            return next(answers, owner)(kind, body)
+
+        async with Nodes(CORE=core, OTHER_CORE=core, OWNER=returning, FOLLOWER=follower):
+            seen = await ask.overview([CORE])
+        self.assertEqual([replica.owner for replica in seen.batch[0].replicas], [True, False])
+
     async def test_no_node_in_touch_is_said(self) -> None:
         async with Nodes(CORE=unsure):
             with self.assertRaisesRegex(ask.NoNode, CORE):
