--- a/heronstall/controlplane/core.py
+++ b/heronstall/controlplane/core.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from typing import Any
 
 import structlog
 
@@ -98,22 +99,24 @@
 
     async def commit(self, group: str, data: bytes) -> bool | None:
         """Commit a command: what it did, or None where that is not known."""
-        try:
-            return bool(await self.host.propose(group, data, COMMIT_WITHIN))
-        except (Superseded, TimeoutError):
-            return None
+        done = await self._applied_to(group, data)
+        return None if done is None else bool(done)
 
     async def change_config(self, change: ConfigChange) -> ChangeOutcome | None:
         """Commit a change of the configuration: what became of it, or None where nothing can be said.
 
         None too where another leader's entry took its place: the change itself was not at fault.
         """
+        outcome = await self._applied_to(CONFIG, command(Command.CHANGE, change))
+        assert outcome is None or isinstance(outcome, ChangeOutcome)
+        return outcome
+
+    async def _applied_to(self, group: str, data: bytes) -> Any:
+        """What applying a command gave; None where it was superseded, or nothing is known of it."""
         try:
-            outcome = await self.host.propose(CONFIG, command(Command.CHANGE, change), COMMIT_WITHIN)
+            return await self.host.propose(group, data, COMMIT_WITHIN)
         except (Superseded, TimeoutError):
             return None
-        assert isinstance(outcome, ChangeOutcome)
-        return outcome
 
     async def confirmed(self, group: str) -> bool:
         """Whether a majority says, after this call, that this node leads: its state is then the newest."""
--- a/heronstall/controlplane/hosting.py
+++ b/heronstall/controlplane/hosting.py
@@ -13,8 +13,16 @@
 import structlog
 
 from heronstall.replication.log import Image
-from heronstall.replication.protocol import EntryKind, MessageKind, RecordKind, Timing, address_of
-from heronstall.replication.replica import MICROSECONDS, Output, Replica, microseconds
+from heronstall.replication.protocol import (
+    MICROSECONDS,
+    EntryKind,
+    MessageKind,
+    RecordKind,
+    Timing,
+    address_of,
+    microseconds,
+)
+from heronstall.replication.replica import Output, Replica
 from heronstall.storage.journal import Journal, Recovered
 from heronstall.transport.frames import Kind
 from heronstall.transport.links import Links
--- a/heronstall/controlplane/state/worker_shard.py
+++ b/heronstall/controlplane/state/worker_shard.py
@@ -71,11 +71,13 @@
 
     def is_gone(self, worker: str) -> bool:
         """Whether a worker has said that it ends; its identity never returns."""
+        change = self._latest(worker)
+        return change is not None and change.removed and change.worker.state == "gone"
+
+    def _latest(self, worker: str) -> WorkerChange | None:
+        """The latest change of a worker that is known."""
         at = self._changed_at.get(worker)
-        if at is None:
-            return False
-        change = self._changes[at]
-        return bool(change.removed and change.worker.state == "gone")
+        return None if at is None else self._changes[at]
 
     def since(self, shard: str, version: int) -> WorkerDelta | None:
         """What has changed since a version; None where nothing has."""
@@ -97,8 +99,8 @@
 
     def _last_sequence(self, worker: str) -> int:
         """The sequence of a worker's latest news that is known; a silent one's is still held."""
-        at = self._changed_at.get(worker)
-        return 0 if at is None else self._changes[at].worker.sequence
+        change = self._latest(worker)
+        return 0 if change is None else change.worker.sequence
 
     def _remove(self, index: int, worker: str, said_so: bool) -> bool:
         known = self.workers.pop(worker, None)
--- a/heronstall/replication/protocol.py
+++ b/heronstall/replication/protocol.py
@@ -50,6 +50,12 @@
 
 
 APPEND_BYTES = 1024 * 1024  # of entries in one message
+MICROSECONDS = 1e6  # a second; times in messages are whole microseconds of the clock of one node
+
+
+def microseconds(seconds: float) -> int:
+    """A time as messages carry it."""
+    return int(seconds * MICROSECONDS)
 
 
 def quorum(voters: int) -> int:
--- a/heronstall/replication/replica.py
+++ b/heronstall/replication/replica.py
@@ -19,26 +19,22 @@
 from heronstall.replication.log import Image, Log
 from heronstall.replication.protocol import (
     APPEND_BYTES,
+    MICROSECONDS,
     EntryKind,
     MessageKind,
     RecordKind,
     Timing,
     address_of,
+    microseconds,
     quorum,
 )
 from heronstall.transport.messages import DiskRecord, GroupMessage, LogEntry, Members, Snapshot
 
 NEVER = -1e9
-MICROSECONDS = 1e6  # a second; times in messages are whole microseconds of the clock of one node
 CONTACTS_MOST = 8
 MARK_BITS = 62  # random bits that tell the marks of one life of a replica from those of another
 
 
-def microseconds(seconds: float) -> int:
-    """A time as messages carry it."""
-    return int(seconds * MICROSECONDS)
-
-
 class Role(Enum):
     """What a replica is in its group."""
 
