--- a/tests/tier/test_drain.py
+++ b/tests/tier/test_drain.py
@@ -27,8 +27,9 @@
 from heronstall.dataplane.forwarding import REQUEST_ID
 from heronstall.dataplane.node import EdgeNode
 from heronstall.dataplane.routing import Routes, read_routes
-from heronstall.lab.tier.client import HOST, SERVICE, STREAM, configuration
-from heronstall.lab.tier.plan import FRONT, Plan, drawn
+from heronstall.lab.tier.client import HOST, SERVICE, STREAM, configuration, until
+from heronstall.lab.tier.plan import CONTROL, FRONT, Plan, drawn
+from heronstall.lab.tier.processes import Processes
 from heronstall.lab.tier.worker import Worker, text_of
 from heronstall.transport.http_server import Handler
 from heronstall.transport.messages import Worker as Entry
@@ -314,5 +315,31 @@
         self.assertFalse(answer.endswith(b"0\r\n\r\n"), answer)
 
 
+class CoreNode(unittest.IsolatedAsyncioTestCase):
+    async def test_a_call_of_which_a_part_is_read_is_answered(self) -> None:
+        """A core node alone, so that it is sure of nothing; an answer is owed all the same."""
+        folder = tempfile.TemporaryDirectory(prefix="heronstall-")
+        self.addCleanup(folder.cleanup)
+        plan = drawn(Path(folder.name))
+        nodes = Processes(plan, {})
+        self.addCleanup(nodes.kill_all)
+        core = plan.cores[0]
+        nodes.run(core, bootstrap=True)
+
+        async def connected() -> Caller:
+            return Caller(f"{core}:{CONTROL}")
+
+        caller: Caller = await until(connected)
+        self.addCleanup(caller.close)
+        caller.send(b"PUT /-/config HTTP/1.1\r\nHost: c\r\nIf-Match: 0\r\nContent-Length: 2\r\n\r\n{")
+        await asyncio.sleep(0.2)
+        ending = asyncio.create_task(nodes.end(core))
+        await asyncio.sleep(0.8)
+        caller.send(b"}")
+        self.assertEqual(await ending, 0)
+        caller.take()
+        self.assertTrue(caller.received.startswith(b"HTTP/1.1 "), caller.received)
+
+
 if __name__ == "__main__":
     unittest.main()
