--- a/tests/tier/test_drain.py
+++ b/tests/tier/test_drain.py
@@ -172,6 +172,17 @@
 
         self.assertEqual([await self.each(kept, ["r1"]), await self.each(new, ["r1"])], [[], []])
 
+    async def test_a_request_that_lies_unread_in_its_socket_is_answered(self) -> None:
+        async def scene(node: EdgeNode, caller: Caller, count: int) -> None:
+            await turns(8)
+            (connection,) = node.front.connections
+            self.assertTrue(connection.rests)
+            caller.send(request("r1"))
+            self.assertFalse(connection.end_if_resting())  # no turn of the event loop has read anything yet
+            await node.stop()
+
+        self.assertEqual(await self.each(scene, ["r1"], [0], owed=True), [])
+
     async def test_a_request_of_which_a_part_is_read_is_answered(self) -> None:
         whole = request("r1")
 
