--- a/tests/tier/test_drain.py
+++ b/tests/tier/test_drain.py
@@ -12,6 +12,8 @@
 
 import asyncio
 import contextlib
+import itertools
+import random
 import socket
 import tempfile
 import time
@@ -28,7 +30,7 @@
 from heronstall.dataplane.node import EdgeNode
 from heronstall.dataplane.routing import Routes, read_routes
 from heronstall.lab.tier.client import HOST, SERVICE, STREAM, configuration, until
-from heronstall.lab.tier.plan import CONTROL, FRONT, Plan, drawn
+from heronstall.lab.tier.plan import CONTROL, FRONT, Plan
 from heronstall.lab.tier.processes import Processes
 from heronstall.lab.tier.worker import Worker, text_of
 from heronstall.transport.http_server import Handler
@@ -36,6 +38,7 @@
 
 TURNS = range(12)  # of the event loop, between the arrival of bytes and the order to end
 BETWEEN_EVENTS = 0.06  # seconds: an answer takes three times as long as an idle dispatcher to end
+FIRST_NET, NET_NUMBERS = f"127.{random.randrange(10, 250)}", itertools.count()
 LATE_MACHINE = (
     4.0  # seconds: much more than each of these ends takes, and less than a grace time or a deadline
 )
@@ -125,6 +128,11 @@
         await self.node.start()
 
 
+def own_plan(folder: Path) -> Plan:
+    """A plan with addresses that no other one of this process has: dozens of plays run here."""
+    return Plan(folder, f"{FIRST_NET}.{next(NET_NUMBERS)}")
+
+
 async def turns(count: int) -> None:
     """Let the event loop go round so many times."""
     for _ in range(count):
@@ -136,7 +144,7 @@
         """One drain, with a scene round its begin; the caller as it stands when the process would end."""
         folder = tempfile.TemporaryDirectory(prefix="heronstall-")
         self.addCleanup(folder.cleanup)
-        dispatcher = Dispatcher(drawn(Path(folder.name)))
+        dispatcher = Dispatcher(own_plan(Path(folder.name)))
         await dispatcher.start()
         self.addAsyncCleanup(dispatcher.worker.stop)
         caller = Caller(dispatcher.front)
@@ -286,7 +294,7 @@
     async def ended(self, behave: Handler | None, routes: Routes) -> bytes:
         """What a client gets whose request is in hand at a worker, or at none, when the time is over."""
         with tempfile.TemporaryDirectory(prefix="heronstall-") as folder:
-            dispatcher = Dispatcher(drawn(Path(folder)), {"grace_s": 1.0})
+            dispatcher = Dispatcher(own_plan(Path(folder)), {"grace_s": 1.0})
             dispatcher.node.ingress.routes = routes
             if behave is None:
                 dispatcher.node.pool.update({})
@@ -338,7 +346,7 @@
         """A core node alone, so that it is sure of nothing; an answer is owed all the same."""
         folder = tempfile.TemporaryDirectory(prefix="heronstall-")
         self.addCleanup(folder.cleanup)
-        plan = drawn(Path(folder.name))
+        plan = own_plan(Path(folder.name))
         nodes = Processes(plan, {})
         self.addCleanup(nodes.kill_all)
         core = plan.cores[0]
