An answer that is passed on in one piece is noted as begun

Cause: only streams noted their answer with the request, so that what was given up at the end of the grace time could be answered twice. Change: every answer is noted before its head is sent; a later attempt that would begin another one is broken off. Before: the test found two heads on one connection; after: it passes.

--- a/heronstall/dataplane/forwarding.py
+++ b/heronstall/dataplane/forwarding.py
@@ -255,7 +255,9 @@
         if passage.route.type is RouteType.STREAMING and answer.status == 200:
             return await self._relay_pieces(passage, worker, answer)
         body = await answer.read()
-        response = PassedResponse(answer.status, answer.reason, answer_headers(answer))
+        if passage.response is not None:
+            raise Broken(AttemptEnd.FAILED_RESUMPTION)
+        response = passage.response = PassedResponse(answer.status, answer.reason, answer_headers(answer))
         response.content_length = len(body)
         if self._closes_after(passage.request):
             response.force_close()
