--- a/benchmarks/tier_soak.py
+++ b/benchmarks/tier_soak.py
@@ -7,9 +7,10 @@
 at any moment of their lives from the program's first line on; the configuration changes some three times a
 second; batch jobs run. Clients keep their connections and use them until they are gone.
 
-What is asked: a request that a worker ran has its whole answer, one that a dispatcher has read an answer at
-all; each process ends by SIGTERM alone, with status 0 and within its grace time; an acknowledged
-configuration is the newest at the end; accepted jobs are whole, as in `benchmarks.tier_audit`.
+What is asked: a request that a worker ran has its whole answer, unless the time-out of its route cut it; one
+that a dispatcher has read has an answer, unless it crossed the close of its connection; each process ends by
+SIGTERM alone, within its grace time and with status 0 (or the signal's, where a second SIGTERM came); an
+acknowledged configuration is the newest at the end; accepted jobs are whole, as in `benchmarks.tier_audit`.
 
 Ends with 1 where a promise is broken, with 2 for wrong arguments. All processes together may take half of the
 machine's memory; a run that takes more is ended and is no verdict (status 3).
