Whether a request waits on a connection is asked of the connection

Cause: closes_after read a private list of the library where HttpConnection.holds_request said the same and was used by nobody. Change: it asks holds_request.

--- a/heronstall/transport/http_server.py
+++ b/heronstall/transport/http_server.py
@@ -110,7 +110,8 @@
 
     def closes_after(self, request: web.BaseRequest) -> bool:
         """Whether an answer that begins now is to be its connection's last."""
-        return self.ending and not request.protocol._messages
+        connection = request.protocol
+        return self.ending and not (isinstance(connection, HttpConnection) and connection.holds_request)
 
     def close_idle(self, seconds: float) -> None:
         """Close connections on which no whole head has come for so long."""
