A dispatcher logs which requests miss their objective, and why

Change: attempts keep their worker, its load as known, their first event, longest gap and end; a request that misses its objective is one log event, likewise batch items and jobs; a tally by route each 5 s. A request in time costs a few comparisons.

--- a/heronstall/dataplane/admission.py
+++ b/heronstall/dataplane/admission.py
@@ -88,6 +88,14 @@
             ]
         return self._random.choices(good, weights)[0]
 
+    def home_rank(self, worker: WorkerState, prefix: SharedPrefix) -> int | None:
+        """A worker's place, from 0, among those that a prompt's shared part belongs to; None: to nobody."""
+        if prefix.tokens < LARGE_PREFIX:
+            return None
+        mine = affinity(prefix.part, worker.entry.id)
+        ready = (w for w in self._pool.of(worker.entry.service) if w.ready)
+        return sum(affinity(prefix.part, w.entry.id) > mine for w in ready)
+
     @staticmethod
     def _set_aside(workers: Sequence[WorkerState], now: float) -> set[str]:
         """Workers that several other dispatchers do not reach, unless they have answered here just now.
--- a/heronstall/dataplane/attempts.py
+++ b/heronstall/dataplane/attempts.py
@@ -5,6 +5,9 @@
 import asyncio
 import time
 from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from heronstall.dataplane.attempt_ends import RULES, AttemptEnd
 
 WORKER_SILENT = 0.5  # seconds: a worker from which nothing has come since an attempt that old is suspected
 REQUEST_SILENT = 1.2  # seconds without an event after which a request that may be repeated goes elsewhere
@@ -13,6 +16,14 @@
 READING_MOST = 2.0  # seconds of silence that a prompt excuses at the most, whatever its length
 
 
+class LoadView(NamedTuple):
+    """A worker's load as its dispatcher knew it when it sent an attempt there."""
+
+    own: int  # requests and items of this dispatcher
+    others: float  # those of the other dispatchers, as last told
+    capacity: int
+
+
 @dataclass(eq=False)
 class Attempt:
     """One request at one worker. `limit` ends it; only attempts that may be repeated are ended early."""
@@ -22,6 +33,18 @@
     sent_at: float
     heard_at: float
     reading: float = 0.0  # seconds that the worker may need for its prompt before anything comes
+    worker: str = ""
+    view: LoadView | None = None
+    home: int | None = None  # the worker's rank among those that the shared part belongs to, from 0
+    new_connection: bool = False  # was opened for it
+    first_at: float = 0.0  # steady time of its first event; 0 where none came
+    longest_gap: float = 0.0  # seconds between two of its events
+    end: AttemptEnd | None = None  # None: it gave an answer, or is under way
+
+    @property
+    def ran(self) -> bool:
+        """Whether the worker may have run it."""
+        return self.end is None or not RULES[self.end].not_run
 
 
 @dataclass
@@ -40,12 +63,16 @@
 
     def heard(self, attempt: Attempt) -> None:
         """Something has come of an attempt."""
-        attempt.heard_at = self.heard_at = time.monotonic()
+        now = time.monotonic()
+        if attempt.first_at:
+            attempt.longest_gap = max(attempt.longest_gap, now - attempt.heard_at)
+        attempt.heard_at = self.heard_at = now
 
     def first_heard(self, attempt: Attempt) -> float:
         """The first event of an attempt has come; seconds since it was sent."""
         self.heard(attempt)
-        return attempt.heard_at - attempt.sent_at
+        attempt.first_at = attempt.heard_at
+        return attempt.first_at - attempt.sent_at
 
     def end(self, attempt: Attempt) -> None:
         """An attempt is over."""
--- a/heronstall/dataplane/batch_front.py
+++ b/heronstall/dataplane/batch_front.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+import time
 from typing import Any
 
 import ujson
@@ -11,6 +12,7 @@
 
 from heronstall.batch.items import put_items
 from heronstall.dataplane.forwarding import REQUEST_ID, failure, refusal
+from heronstall.dataplane.misses import MissLog
 from heronstall.dataplane.routing import Route
 from heronstall.dataplane.shard_client import ShardClient
 from heronstall.distribution.shards import batch_shard
@@ -67,11 +69,20 @@
 class BatchFront:
     """Answers the calls of batch jobs, by the shard's owner."""
 
-    def __init__(self, shards: ShardClient) -> None:
+    def __init__(self, shards: ShardClient, misses: MissLog | None = None) -> None:
         self._shards = shards
+        self._misses = misses or MissLog()
 
     async def submit(self, request: web.BaseRequest, route: Route, body: bytes) -> web.Response:
         """Take a batch job: 202 once it is kept, 429 or 503 where none of it will run."""
+        began = time.monotonic()
+        response = await self._submit(request, route, body)
+        self._misses.job_answered(
+            request.headers.get(REQUEST_ID, ""), route, response.status, time.monotonic() - began
+        )
+        return response
+
+    async def _submit(self, request: web.BaseRequest, route: Route, body: bytes) -> web.Response:
         name = request.headers.get(REQUEST_ID)
         if not name:
             return web.json_response({"error": f"{REQUEST_ID}: missing"}, status=400)
--- a/heronstall/dataplane/batch_runner.py
+++ b/heronstall/dataplane/batch_runner.py
@@ -20,10 +20,11 @@
 from heronstall.dataplane.events import EventReader
 from heronstall.dataplane.forwarding import LAST_EVENT, PREFIX, REQUEST_ID, TARGET
 from heronstall.dataplane.framing import is_framed
+from heronstall.dataplane.misses import EndedItem, MissLog
 from heronstall.dataplane.prefixes import SharedPrefix, shared_prefix
 from heronstall.dataplane.routing import Route, Routes, RouteType
 from heronstall.dataplane.shard_client import ShardClient
-from heronstall.dataplane.workers import UnsendablePath, WorkerState
+from heronstall.dataplane.workers import UnsendablePath, WorkerState, note_attempt
 from heronstall.distribution.shards import batch_shard
 from heronstall.transport.frames import Kind, Status
 from heronstall.transport.links import Reply
@@ -63,6 +64,9 @@
     shard: str
     texts: list[bytes] = field(default_factory=list)
     last_event: int | None = None
+    leased_at: float = field(default_factory=time.monotonic)
+    began_at: float = 0.0  # steady time at which it left the lane
+    attempts: list[Attempt] = field(default_factory=list)
     task: asyncio.Task[None] | None = None
 
 
@@ -76,11 +80,13 @@
         admission: Admission,
         deferred: DeferredLane,
         routes: Callable[[], Routes],
+        misses: MissLog | None = None,
     ) -> None:
         self.holder = f"{name}/{secrets.token_hex(4)}"
         self.stopping = False
         self._shards, self._admission, self._routes = shards, admission, routes
         self._deferred = deferred
+        self._misses = misses or MissLog()
         self._running: dict[tuple[str, str], Running] = {}
         self._reports: dict[str, list[ItemReport]] = {}
         self._sent_reports: dict[str, list[ItemReport]] = {}  # that an owner has not acknowledged
@@ -244,6 +250,7 @@
         outcome = Outcome.RETURNED
         try:
             await self._wait(item)
+            item.began_at = time.monotonic()
             outcome = await self._attempts(item)
         except asyncio.CancelledError:
             pass
@@ -257,6 +264,7 @@
         del self._running[key]
         text = b"\n".join(item.texts) if outcome == Outcome.DONE else b""
         report = ItemReport(key[0], key[1], outcome, text, item.leased.lease)
+        self._misses.item_ended(_ended_item(item, outcome))
         self._reports.setdefault(item.shard, []).append(report)
         self._report_news.set()
         self._free_place()
@@ -314,6 +322,8 @@
         try:
             async with asyncio.timeout(None) as limit:
                 attempt = worker.attempts.begin(limit, ITEM_SILENT)
+                note_attempt(attempt, worker)
+                item.attempts.append(attempt)
                 answer = await worker.request(
                     "POST", item.request.path, _headers(item, worker), item.request.body
                 )
@@ -357,7 +367,10 @@
             piece = await answer.content.readany()
             if not piece:
                 break
-            worker.attempts.heard(attempt)
+            if attempt.first_at:
+                worker.attempts.heard(attempt)
+            else:
+                worker.attempts.first_heard(attempt)
             for event in reader.feed(piece):
                 self._take(item, event.id, event.data)
         if reader.partial:
@@ -373,6 +386,19 @@
         item.texts.append(data)
 
 
+def _ended_item(item: Running, outcome: Outcome) -> EndedItem:
+    return EndedItem(
+        job=item.leased.job,
+        item=item.request.id,
+        route=item.leased.route,
+        outcome=outcome,
+        leased_at=item.leased_at,
+        due=item.leased_at + item.leased.due_in_ms / 1000,
+        began_at=item.began_at,
+        attempts=item.attempts,
+    )
+
+
 def _prefix(request: BatchItem) -> SharedPrefix:
     value = next((h.value for h in request.headers if h.name.lower() == PREFIX.lower()), "")
     return shared_prefix(value)
--- a/heronstall/dataplane/forwarding.py
+++ b/heronstall/dataplane/forwarding.py
@@ -18,9 +18,10 @@
 from heronstall.dataplane.attempts import REQUEST_SILENT, Attempt
 from heronstall.dataplane.events import EventReader
 from heronstall.dataplane.framing import is_framed
+from heronstall.dataplane.misses import EndedRequest, MissLog, RequestTimes
 from heronstall.dataplane.prefixes import SharedPrefix, shared_prefix
 from heronstall.dataplane.routing import Route, RouteType
-from heronstall.dataplane.workers import UnsendablePath, WorkerPool, WorkerState
+from heronstall.dataplane.workers import UnsendablePath, WorkerPool, WorkerState, note_attempt
 
 log = structlog.get_logger()
 
@@ -73,7 +74,10 @@
     last_event: int | None = None
     runs: int = 0
     tried: set[str] = field(default_factory=set)
-    attempt: Attempt | None = None
+    attempt: Attempt | None = None  # the latest, once it may have reached a worker
+    attempts: list[Attempt] = field(default_factory=list)
+    deferred: float = 0.0  # seconds behind urgent requests
+    held: float = 0.0  # seconds without a worker to send it to
 
     @property
     def may_have_run(self) -> bool:
@@ -93,8 +97,32 @@
     @cached_property
     def prompt_tokens(self) -> int:
         """Tokens of its prompt; 0 where it does not tell."""
-        tokens = self.request.headers.get(USAGE, "").partition(",")[0].strip()
-        return int(tokens) if tokens.isdecimal() and len(tokens) <= TOKEN_DIGITS else 0
+        return _tokens(self.request.headers.get(USAGE, "").partition(",")[0])
+
+    @property
+    def output_tokens(self) -> int:
+        """Tokens of the longest answer that it allows; 0 where it does not tell."""
+        return _tokens(self.request.headers.get(USAGE, "").partition(",")[2])
+
+    def ended(self, status: int) -> EndedRequest:
+        """What is known of it now that it has ended, by an answer of this status; 0: by none."""
+        return EndedRequest(
+            request=self.request.headers.get(REQUEST_ID, ""),
+            route=self.route,
+            prefix=self.prefix,
+            prompt_tokens=self.prompt_tokens,
+            output_tokens=self.output_tokens,
+            times=RequestTimes(self.arrived, self.deferred, self.held),
+            attempts=self.attempts,
+            status=status,
+            deadline=self.deadline,
+        )
+
+
+def _tokens(text: str) -> int:
+    """A count of tokens; 0 for what is none."""
+    digits = text.strip()
+    return int(digits) if digits.isdecimal() and len(digits) <= TOKEN_DIGITS else 0
 
 
 class PassedResponse(web.StreamResponse):
@@ -132,19 +160,26 @@
         pool: WorkerPool,
         admission: Admission,
         closes_after: Callable[[web.BaseRequest], bool] = lambda request: False,
+        misses: MissLog | None = None,
     ) -> None:
         self._pool, self._admission = pool, admission
+        self._misses = misses or MissLog()
         self._closes_after = closes_after  # whether an answer is to be its connection's last
 
     async def carry(self, passage: Passage) -> web.StreamResponse:
         """Serve a request: the worker's answer, or one of our own."""
-        held_until = passage.arrived + HOLD_SHARE * passage.route.target_latency
+        status = 0
+        try:
+            response = await self._carry(passage)
+            status = response.status
+            return response
+        finally:
+            self._misses.ended(passage.ended(status))
+
+    async def _carry(self, passage: Passage) -> web.StreamResponse:
         route = passage.route
         for _ in range(SENDS):
-            worker = self._admission.pick(passage.service, passage.prefix, passage.tried)
-            while worker is None and time.monotonic() < held_until and not passage.tried:
-                await self._wait_for_worker(held_until)
-                worker = self._admission.pick(passage.service, passage.prefix, passage.tried)
+            worker = await self._pick(passage)
             if worker is None or passage.deadline - time.monotonic() < 0.01:
                 break
             outcome = await self._attempt(passage, worker)
@@ -156,6 +191,19 @@
                 break
         return self._give_up(passage)
 
+    async def _pick(self, passage: Passage) -> WorkerState | None:
+        """A worker; one that was not tried yet waits a moment where there is none."""
+        worker = self._admission.pick(passage.service, passage.prefix, passage.tried)
+        if worker is not None or passage.tried:
+            return worker
+        held_until = passage.arrived + HOLD_SHARE * passage.route.target_latency
+        began = time.monotonic()
+        while worker is None and time.monotonic() < held_until:
+            await self._wait_for_worker(held_until)
+            worker = self._admission.pick(passage.service, passage.prefix, passage.tried)
+        passage.held += time.monotonic() - began
+        return worker
+
     async def _wait_for_worker(self, until: float) -> None:
         try:
             async with asyncio.timeout(max(0.0, min(0.02, until - time.monotonic()))):
@@ -174,8 +222,11 @@
 
     async def _attempt(self, passage: Passage, worker: WorkerState) -> web.StreamResponse | AttemptEnd:
         """One attempt at one worker, and what its end says of the worker."""
+        began = len(passage.attempts)
         outcome = await self._send(passage, worker)
         if isinstance(outcome, AttemptEnd):
+            for attempt in passage.attempts[began:]:
+                attempt.end = outcome
             if RULES[outcome].worker_failed:
                 self._admission.failed(worker)
             if outcome is AttemptEnd.FULL:
@@ -191,6 +242,8 @@
             async with asyncio.timeout(passage.deadline - time.monotonic()) as limit:
                 patience = REQUEST_SILENT if passage.may_repeat else None
                 passage.attempt = worker.attempts.begin(limit, patience, passage.prompt_tokens)
+                note_attempt(passage.attempt, worker, self._admission.home_rank(worker, passage.prefix))
+                passage.attempts.append(passage.attempt)
                 answer = await worker.request(
                     passage.request.method,
                     passage.request.raw_path,
--- a/heronstall/dataplane/ingress.py
+++ b/heronstall/dataplane/ingress.py
@@ -125,11 +125,13 @@
             in_hand.begun = True
             return await self._batch.submit(request, route, body)
         patience = min(_deadline(request), route.timeout)
+        received = time.monotonic()
         if self._deferred.switch.busy and self.routes.deferrable(route):
             aim = arrived + route.target_latency
             await self._deferred.wait(0, aim, arrived + DUE_SHARE * route.target_latency, lambda: True)
         service = route.service(self._random)
         passage = Passage(request, route, service, body, arrived + patience, arrived)
+        passage.deferred = time.monotonic() - received
         in_hand.begun, in_hand.passage = True, passage
         return await self._forwarder.carry(passage)
 
--- /dev/null
+++ b/heronstall/dataplane/misses.py
@@ -0,0 +1,277 @@
+"""Requests that miss their objective: for what reason, and where their time went.
+
+One log event for each of them, and a tally by route each few seconds, from which `heronstall tier misses`
+makes its table. A request that is served in time costs a few comparisons. Times are steady, in seconds.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum
+
+import structlog
+
+from heronstall.batch.outcomes import Outcome
+from heronstall.dataplane.attempt_ends import AttemptEnd
+from heronstall.dataplane.attempts import Attempt
+from heronstall.dataplane.prefixes import SharedPrefix
+from heronstall.dataplane.routing import Route
+
+log = structlog.get_logger()
+
+TALLY_EVERY = 5.0  # seconds between tallies
+EVENTS_MOST = 200  # misses that are logged between two tallies; the tally counts them all
+OUTPUT_WEIGHT = 10  # prompt tokens that one token of output counts for, in a request's size
+MILLISECONDS = 1000
+ACCEPTED = 202  # status of the answer to a batch job that is kept
+
+
+class MissReason(Enum):
+    """Why a request was not served within its objective."""
+
+    REFUSED_HERE = "refused here"  # no worker was ready, or none could be reached in time
+    REFUSED_BY_WORKERS = "refused by workers"
+    CUT = "cut by a worker's end"
+    WORKER_ERROR = "a worker's error"
+    TIMED_OUT = "no answer in time"
+    CLIENT_LEFT = "the client left"
+    LATE_FIRST_EVENT = "late first event"
+    LONG_GAP = "long gap"
+    RAN_AGAIN = "ran again"
+
+
+@dataclass(frozen=True)
+class RequestTimes:
+    """Waits of a request at its dispatcher, in seconds."""
+
+    arrived: float  # steady time
+    deferred: float  # behind urgent requests
+    held: float  # for a worker with room
+
+
+@dataclass
+class RouteTally:
+    """Requests of one route that ended since the latest tally."""
+
+    requests: int = 0
+    missed: int = 0
+    size: int = 0  # prompt tokens and weighted output tokens
+    missed_size: int = 0
+    first_home: int = 0  # requests with a large shared part that went to the worker it belongs to
+    second_home: int = 0
+    elsewhere: int = 0
+    connections: int = 0  # that were opened for them
+
+
+@dataclass(frozen=True)
+class EndedRequest:
+    """What is known of a request when it has ended."""
+
+    request: str
+    route: Route
+    prefix: SharedPrefix
+    prompt_tokens: int
+    output_tokens: int
+    times: RequestTimes
+    attempts: Sequence[Attempt]
+    status: int  # of the answer; 0 where the connection was cut, or the client left
+    deadline: float  # steady time
+
+    @property
+    def size(self) -> int:
+        """Prompt tokens and weighted output tokens."""
+        return self.prompt_tokens + OUTPUT_WEIGHT * self.output_tokens
+
+    @property
+    def first_event_after(self) -> float | None:
+        """Seconds from its arrival to the first event; None where there was none."""
+        heard = [a.first_at for a in self.attempts if a.first_at]
+        return min(heard) - self.times.arrived if heard else None
+
+    @property
+    def longest_gap(self) -> float:
+        """Longest pause between events, in seconds, also from one worker's last to the next one's first."""
+        gap, last = 0.0, 0.0
+        for attempt in self.attempts:
+            if attempt.first_at:
+                gap = max(gap, attempt.longest_gap, attempt.first_at - last if last else 0.0)
+                last = attempt.heard_at
+        return gap
+
+
+@dataclass(frozen=True)
+class EndedItem:
+    """What is known of a batch item when its run at this dispatcher has ended."""
+
+    job: str
+    item: str
+    route: str
+    outcome: Outcome
+    leased_at: float  # steady time
+    due: float  # steady time by which its job is to be whole
+    began_at: float  # steady time at which it left the dispatcher's lane; 0 where it did not
+    attempts: Sequence[Attempt]
+
+    @property
+    def late(self) -> bool:
+        """Whether it was done too late to be of full worth, or was late when it was leased."""
+        return self.outcome is Outcome.DONE and time.monotonic() > self.due
+
+
+def miss_reason(ended: EndedRequest, now: float) -> MissReason | None:
+    """Why a request that has just ended missed its objective; None where it did not."""
+    if ended.status != 200:
+        return _failure_reason(ended, now)
+    first = ended.first_event_after
+    if first is None or first > ended.route.target_latency:
+        return MissReason.LATE_FIRST_EVENT
+    if ended.longest_gap > ended.route.gap_aim:
+        return MissReason.LONG_GAP
+    if sum(attempt.ran for attempt in ended.attempts) > 1:
+        return MissReason.RAN_AGAIN
+    return None
+
+
+def _failure_reason(ended: EndedRequest, now: float) -> MissReason:
+    if now >= ended.deadline:
+        return MissReason.TIMED_OUT
+    if not ended.attempts:
+        return MissReason.REFUSED_HERE if ended.status else MissReason.CLIENT_LEFT
+    last = ended.attempts[-1]
+    if last.end is None:
+        return MissReason.WORKER_ERROR if ended.status else MissReason.CLIENT_LEFT
+    if last.end in (AttemptEnd.FULL, AttemptEnd.TURNED_AWAY, AttemptEnd.UNPROVEN_REFUSAL):
+        return MissReason.REFUSED_BY_WORKERS
+    return MissReason.TIMED_OUT if last.end is AttemptEnd.TIMED_OUT else MissReason.CUT
+
+
+class MissLog:
+    """Counts the requests of a dispatcher, and logs those that miss their objective."""
+
+    def __init__(self) -> None:
+        self._tallies: dict[str, RouteTally] = {}
+        self._logged = 0
+
+    def ended(self, ended: EndedRequest) -> None:
+        """A request has ended, in whatever way."""
+        tally = self._tallies.setdefault(ended.route.name, RouteTally())
+        tally.requests += 1
+        tally.size += ended.size
+        for attempt in ended.attempts:
+            tally.connections += attempt.new_connection
+        if ended.attempts and ended.attempts[0].home is not None:
+            _count_home(tally, ended.attempts[0].home)
+        now = time.monotonic()
+        reason = miss_reason(ended, now)
+        if reason is None:
+            return
+        tally.missed += 1
+        tally.missed_size += ended.size
+        self._logged += 1
+        if self._logged <= EVENTS_MOST:
+            _tell(ended, reason, now)
+
+    def item_ended(self, ended: EndedItem) -> None:
+        """A batch item's run has ended, in whatever way."""
+        tally = self._tallies.setdefault(ended.route, RouteTally())
+        tally.requests += 1
+        for attempt in ended.attempts:
+            tally.connections += attempt.new_connection
+        if not ended.late and ended.outcome is not Outcome.FAILED:
+            return
+        tally.missed += 1
+        self._logged += 1
+        if self._logged <= EVENTS_MOST:
+            _tell_item(ended)
+
+    def job_answered(self, job: str, route: Route, status: int, seconds: float) -> None:
+        """A submission of a batch job has been answered after so many seconds."""
+        if status == ACCEPTED and seconds <= route.target_latency:
+            return
+        log.info("job missed", job=job, route=route.name, status=status, took_ms=_ms(seconds))
+
+    async def run(self) -> None:
+        """Log the tallies until cancelled."""
+        while True:
+            await asyncio.sleep(TALLY_EVERY)
+            self.tell()
+
+    def tell(self) -> None:
+        """Log what has ended since the latest tally."""
+        for route, tally in self._tallies.items():
+            log.info(
+                "requests",
+                route=route,
+                requests=tally.requests,
+                missed=tally.missed,
+                size=tally.size,
+                missed_size=tally.missed_size,
+                first_home=tally.first_home,
+                second_home=tally.second_home,
+                elsewhere=tally.elsewhere,
+                connections=tally.connections,
+            )
+        self._tallies.clear()
+        self._logged = 0
+
+
+def _count_home(tally: RouteTally, home: int) -> None:
+    tally.first_home += home == 0
+    tally.second_home += home == 1
+    tally.elsewhere += home > 1
+
+
+def _tell(ended: EndedRequest, reason: MissReason, now: float) -> None:
+    first = ended.first_event_after
+    last = ended.attempts[-1] if ended.attempts else None
+    arrived = ended.times.arrived
+    log.info(
+        "request missed",
+        request=ended.request,
+        route=ended.route.name,
+        reason=reason.value,
+        status=ended.status,
+        prompt=ended.prompt_tokens,
+        output=ended.output_tokens,
+        shared=ended.prefix.tokens,
+        age_ms=_ms(now - arrived),
+        deferred_ms=_ms(ended.times.deferred),
+        held_ms=_ms(ended.times.held),
+        sent_ms=_ms(last.sent_at - arrived) if last else None,
+        first_ms=_ms(first) if first is not None else None,
+        gap_ms=_ms(ended.longest_gap),
+        attempts=" ".join(_attempt_text(attempt) for attempt in ended.attempts),
+    )
+
+
+def _tell_item(ended: EndedItem) -> None:
+    now = time.monotonic()
+    log.info(
+        "item missed",
+        job=ended.job,
+        item=ended.item,
+        route=ended.route,
+        outcome=ended.outcome.name.lower(),
+        slack_ms=_ms(ended.due - ended.leased_at),
+        waited_ms=_ms((ended.began_at or now) - ended.leased_at),
+        ran_ms=_ms(now - ended.began_at) if ended.began_at else None,
+        attempts=" ".join(_attempt_text(attempt) for attempt in ended.attempts),
+    )
+
+
+def _attempt_text(attempt: Attempt) -> str:
+    """One attempt: its worker, how it ended, its load as it was known, home, connection, milliseconds."""
+    end = attempt.end.name.lower() if attempt.end is not None else "answered"
+    home = "-" if attempt.home is None else str(attempt.home)
+    view = attempt.view
+    load = f"{view.own}+{view.others:.1f}/{view.capacity}" if view is not None else "?"
+    connection = "new" if attempt.new_connection else "kept"
+    first = _ms(attempt.first_at - attempt.sent_at) if attempt.first_at else "-"
+    return f"{attempt.worker}:{end}:{load}:{home}:{connection}:{first}"
+
+
+def _ms(seconds: float) -> int:
+    return round(seconds * MILLISECONDS)
--- a/heronstall/dataplane/node.py
+++ b/heronstall/dataplane/node.py
@@ -16,6 +16,7 @@
 from heronstall.dataplane.deferred import DeferredLane
 from heronstall.dataplane.forwarding import Forwarder
 from heronstall.dataplane.ingress import Ingress
+from heronstall.dataplane.misses import MissLog
 from heronstall.dataplane.routing import read_routes
 from heronstall.dataplane.shard_client import ShardClient
 from heronstall.dataplane.subset import Seat
@@ -49,14 +50,17 @@
         self.admission = Admission(self.pool, rng, settings.zone)
         shards = ShardClient(self.links, self.view)
         self.deferred = DeferredLane(self.admission.utilisation)
+        self.misses = MissLog()
         self.runner = BatchRunner(
-            settings.name, shards, self.admission, self.deferred, lambda: self.ingress.routes
+            settings.name, shards, self.admission, self.deferred, lambda: self.ingress.routes, self.misses
+        )
+        forwarder = Forwarder(
+            self.pool, self.admission, lambda request: self.front.closes_after(request), self.misses
         )
-        forwarder = Forwarder(self.pool, self.admission, lambda request: self.front.closes_after(request))
         bounds = settings.bounds
         self.ingress = Ingress(
             forwarder,
-            BatchFront(shards),
+            BatchFront(shards, self.misses),
             self.deferred,
             rng,
             lambda: time.monotonic() - self.puller.known_at,
@@ -84,6 +88,7 @@
             self.runner.report(),
             self.deferred.run(),
             self.pool.watch(),
+            self.misses.run(),
             self._sweep(),
         )
         self._tasks = [asyncio.create_task(run) for run in runs]
@@ -107,6 +112,7 @@
             await self.front.finish(time.monotonic() + GIVEN_UP_WITHIN)
         self.pool.close()
         await asyncio.sleep(CLOSED_WITHIN)
+        self.misses.tell()
         self._tell_drain("ended", began)
         for task in self._tasks:
             task.cancel()
--- a/heronstall/dataplane/workers.py
+++ b/heronstall/dataplane/workers.py
@@ -10,7 +10,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from heronstall.dataplane.attempts import Attempts
+from heronstall.dataplane.attempts import Attempt, Attempts, LoadView
 from heronstall.dataplane.connections import FreshestFirst, RestLimit
 from heronstall.dataplane.pace import Pace
 from heronstall.dataplane.subset import ring
@@ -142,6 +142,14 @@
             self._session = self._connector = None
 
 
+def note_attempt(attempt: Attempt, worker: WorkerState, home: int | None = None) -> None:
+    """Note where an attempt goes, and what is known of that worker."""
+    attempt.worker = worker.entry.id
+    attempt.view = LoadView(worker.inflight - 1, worker.others_live + worker.others_items, worker.capacity)
+    attempt.home = home
+    attempt.new_connection = not worker.has_kept(attempt.sent_at)
+
+
 class WorkerPool:
     """All workers by service."""
 
--- /dev/null
+++ b/tests/tier/test_misses.py
@@ -0,0 +1,173 @@
+"""Why requests miss their objective, and what the log says of them."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import unittest
+from typing import Any
+from unittest import mock
+
+from structlog.testing import capture_logs
+
+from heronstall.batch.outcomes import Outcome
+from heronstall.dataplane.attempt_ends import AttemptEnd
+from heronstall.dataplane.attempts import Attempt, Attempts, LoadView
+from heronstall.dataplane.misses import (
+    EVENTS_MOST,
+    EndedItem,
+    EndedRequest,
+    MissLog,
+    MissReason,
+    RequestTimes,
+    miss_reason,
+)
+from heronstall.dataplane.prefixes import NOTHING
+from heronstall.dataplane.routing import Route, RouteType
+
+ROUTE = Route("r", "h", "/", RouteType.STREAMING, (("lm", 1.0),), 5.0, 0.3, 0, 2, True, 0.25, 8.0, 60.0, 0)
+ARRIVED = 1000.0
+DEADLINE = ARRIVED + 5.0
+
+
+def attempt(
+    sent: float = 0.0,
+    first: float | None = None,
+    last: float | None = None,
+    gap: float = 0.0,
+    end: AttemptEnd | None = None,
+    home: int | None = None,
+) -> Attempt:
+    """An attempt; times in seconds since the request's arrival."""
+    made = Attempt(mock.Mock(), None, ARRIVED + sent, ARRIVED + (last if last is not None else first or sent))
+    made.worker, made.view, made.home = "w1", LoadView(2, 3.25, 12), home
+    made.first_at = ARRIVED + first if first is not None else 0.0
+    made.longest_gap, made.end = gap, end
+    return made
+
+
+def ended(*attempts: Attempt, status: int = 200) -> EndedRequest:
+    return EndedRequest(
+        request="q1",
+        route=ROUTE,
+        prefix=NOTHING,
+        prompt_tokens=500,
+        output_tokens=40,
+        times=RequestTimes(ARRIVED, deferred=0.01, held=0.02),
+        attempts=attempts,
+        status=status,
+        deadline=DEADLINE,
+    )
+
+
+class Reasons(unittest.TestCase):
+    def check(self, wanted: MissReason | None, request: EndedRequest, now: float = 1.0) -> None:
+        self.assertIs(miss_reason(request, ARRIVED + now), wanted)
+
+    def test_each_reason(self) -> None:
+        cut, full = AttemptEnd.CUT_SHORT, AttemptEnd.FULL
+        rows = (
+            (None, ended(attempt(0.01, 0.2, 0.9, gap=0.2))),
+            (MissReason.LATE_FIRST_EVENT, ended(attempt(0.01, 0.31))),
+            (MissReason.LATE_FIRST_EVENT, ended(attempt(0.01))),
+            (MissReason.LONG_GAP, ended(attempt(0.01, 0.2, 0.9, gap=0.26))),
+            (MissReason.RAN_AGAIN, ended(attempt(0.0, end=cut), attempt(0.1, 0.2))),
+            (None, ended(attempt(0.0, end=full), attempt(0.1, 0.2))),
+            (MissReason.REFUSED_HERE, ended(status=503)),
+            (MissReason.CLIENT_LEFT, ended(status=0)),
+            (MissReason.CLIENT_LEFT, ended(attempt(0.0), status=0)),
+            (MissReason.REFUSED_BY_WORKERS, ended(attempt(0.0, end=full), status=503)),
+            (MissReason.CUT, ended(attempt(0.0, end=cut), status=502)),
+            (MissReason.CUT, ended(attempt(0.0, 0.2, end=cut), status=0)),
+            (MissReason.WORKER_ERROR, ended(attempt(0.0), status=500)),
+            (MissReason.TIMED_OUT, ended(attempt(0.0, end=AttemptEnd.TIMED_OUT), status=504)),
+        )
+        for wanted, request in rows:
+            with self.subTest(wanted=wanted, status=request.status, attempts=len(request.attempts)):
+                self.check(wanted, request)
+
+    def test_what_has_no_answer_at_its_deadline_has_timed_out(self) -> None:
+        self.check(MissReason.TIMED_OUT, ended(attempt(0.0, end=AttemptEnd.CUT_SHORT), status=504), now=5.0)
+
+    def test_the_pause_from_one_workers_last_event_to_the_next_ones_first_is_a_gap(self) -> None:
+        resumed = ended(attempt(0.0, 0.2, 0.5, end=AttemptEnd.CUT_SHORT), attempt(0.6, 0.8, 0.9))
+        self.assertAlmostEqual(resumed.longest_gap, 0.3)
+        self.check(MissReason.LONG_GAP, resumed)
+
+
+class Gaps(unittest.IsolatedAsyncioTestCase):
+    async def test_the_longest_pause_between_events_is_kept_and_the_wait_for_the_first_is_none(self) -> None:
+        worker = Attempts()
+        with mock.patch("heronstall.dataplane.attempts.time") as clock:
+            clock.monotonic.return_value = 10.0
+            async with asyncio.timeout(None) as limit:
+                begun = worker.begin(limit, None)
+                for at, first in ((12.0, True), (12.25, False), (13.0, False), (13.5, False)):
+                    clock.monotonic.return_value = at
+                    if first:
+                        worker.first_heard(begun)
+                    else:
+                        worker.heard(begun)
+        self.assertEqual((begun.first_at, begun.longest_gap), (12.0, 0.75))
+
+
+class Log(unittest.TestCase):
+    def told(self, misses: MissLog, event: str) -> list[dict[str, Any]]:
+        with capture_logs() as events:
+            misses.tell()
+        return [dict(found) for found in events if found["event"] == event]
+
+    def test_a_request_in_time_is_counted_and_not_logged(self) -> None:
+        misses = MissLog()
+        with capture_logs() as events:
+            misses.ended(ended(attempt(0.01, 0.2, 0.4, home=0)))
+        self.assertEqual(events, [])
+        (tally,) = self.told(misses, "requests")
+        self.assertEqual((tally["requests"], tally["missed"], tally["size"]), (1, 0, 900))
+        self.assertEqual((tally["first_home"], tally["second_home"], tally["elsewhere"]), (1, 0, 0))
+        self.assertEqual(self.told(misses, "requests"), [], "told once")
+
+    def test_a_miss_tells_its_waits_and_attempts(self) -> None:
+        misses = MissLog()
+        with capture_logs() as events:
+            misses.ended(ended(attempt(0.05, end=AttemptEnd.FULL), attempt(0.1, 0.35, 0.6, home=1)))
+        (missed,) = events
+        self.assertEqual((missed["event"], missed["reason"]), ("request missed", "late first event"))
+        self.assertEqual((missed["deferred_ms"], missed["held_ms"]), (10, 20))
+        self.assertEqual((missed["sent_ms"], missed["first_ms"]), (100, 350))
+        self.assertEqual(missed["attempts"], "w1:full:2+3.2/12:-:kept:- w1:answered:2+3.2/12:1:kept:250")
+
+    def test_a_flood_of_misses_is_counted_whole_and_logged_in_part(self) -> None:
+        misses = MissLog()
+        with capture_logs() as events:
+            for _ in range(EVENTS_MOST + 30):
+                misses.ended(ended(status=503))
+        self.assertEqual(len(events), EVENTS_MOST)
+        (tally,) = self.told(misses, "requests")
+        self.assertEqual(
+            (tally["missed"], tally["missed_size"]), (EVENTS_MOST + 30, 900 * (EVENTS_MOST + 30))
+        )
+
+    def test_an_item_is_missed_when_it_is_done_late_or_fails(self) -> None:
+        now = time.monotonic()
+
+        def run(outcome: Outcome, due: float) -> list[str]:
+            with capture_logs() as events:
+                item = EndedItem("j", "i", "lots", outcome, now - 2.0, now + due, now - 1.0, ())
+                MissLog().item_ended(item)
+            return [found["event"] for found in events]
+
+        self.assertEqual(run(Outcome.DONE, 1.0), [])
+        self.assertEqual(run(Outcome.DONE, -0.1), ["item missed"])
+        self.assertEqual(run(Outcome.FAILED, 1.0), ["item missed"])
+        self.assertEqual(run(Outcome.RETURNED, -0.1), [])
+
+    def test_a_job_is_missed_when_it_is_refused_or_accepted_late(self) -> None:
+        for status, seconds, events_wanted in ((202, 0.2, 0), (202, 0.4, 1), (503, 0.1, 1), (429, 0.1, 1)):
+            with self.subTest(status=status, seconds=seconds), capture_logs() as events:
+                MissLog().job_answered("j", ROUTE, status, seconds)
+            self.assertEqual(len(events), events_wanted)
+
+
+if __name__ == "__main__":
+    unittest.main()
