heronstall tier misses: which requests missed their objective, by route, moment and reason

Cause: the new records are lines of sixty logs; nobody adds them up by hand. Change: a reader of logs (report/misses.py) and a command, as a table or JSON, with named stretches of time; unreadable lines are named by file and line, exit 2. An answer in one piece has its first event when it is whole.

--- a/heronstall/cli/tier.py
+++ b/heronstall/cli/tier.py
@@ -19,6 +19,7 @@
     from heronstall.lab.tier.demo import Step
     from heronstall.lab.tier.plan import Plan, Sizes
     from heronstall.lab.tier.tier import LocalTier
+    from heronstall.report.misses import Moment
 
 LOOK = 0.5  # seconds between looks at the processes
 
@@ -285,6 +286,48 @@
         click.echo(f"  {name}: " + ", ".join(f"{k} {v:.1f}" for k, v in record[name].items()))
 
 
+@tier.command("misses")
+@click.argument("logs", type=click.Path(path_type=Path))
+@click.option(
+    "--moment",
+    "moments",
+    multiple=True,
+    metavar="NAME:FROM:TO",
+    help="A stretch of time to count apart, in seconds by the logs' clock; the first that fits counts.",
+)
+@click.option("--json", "as_json", is_flag=True, help="The table as JSON.")
+def misses(logs: Path, moments: tuple[str, ...], as_json: bool) -> None:
+    """Which requests missed their objective, by route, moment and reason. LOGS: a file, or a folder of *.log.
+
+    Example: heronstall tier misses tier --moment burst:10:13
+    """
+    from heronstall.report.misses import LogError, log_files, miss_table, read_events
+
+    named = [_moment(text) for text in moments]
+    try:
+        table = miss_table(read_events(log_files(logs)), named)
+    except LogError as error:
+        raise BadInput(str(error)) from None
+    if as_json:
+        click.echo(json.dumps(table.record()))
+        return
+    for line in table.lines():
+        click.echo(line)
+
+
+def _moment(text: str) -> Moment:
+    from heronstall.report.misses import Moment
+
+    name, begin, end = (text.rsplit(":", 2) + ["", ""])[:3]
+    try:
+        moment = Moment(name, float(begin), float(end))
+    except ValueError:
+        raise BadInput(f"--moment {text}: NAME:FROM:TO is wanted, FROM and TO in seconds") from None
+    if not name or not moment.begin < moment.end:
+        raise BadInput(f"--moment {text}: a name is wanted, and FROM before TO")
+    return moment
+
+
 def _tell(step: Step) -> None:
     click.echo(f"{'kept  ' if step.kept else 'BROKEN'} {step.seconds:5.1f} s  {step.name}: {step.promise}")
     for name, value in step.figures.items():
--- a/heronstall/dataplane/forwarding.py
+++ b/heronstall/dataplane/forwarding.py
@@ -308,6 +308,7 @@
         if passage.route.type is RouteType.STREAMING and answer.status == 200:
             return await self._relay_pieces(passage, worker, answer)
         body = await answer.read()
+        worker.attempts.first_heard(passage.attempt)
         if passage.response is not None:
             raise Broken(AttemptEnd.FAILED_RESUMPTION)
         response = passage.response = PassedResponse(answer.status, answer.reason, answer_headers(answer))
