Places for batch items are shared out by seat, follow how soon they are due, and are filled ahead

Change: each dispatcher has a share of the ring of workers and the item places there; the places left to live requests go from 1.2 to 0.2 roots of a worker's places as leased items come closer to their due time; three tenths more are leased ahead. The draw and the bounds are modules of their own, with the clock handed in.

--- a/heronstall/dataplane/batch_runner.py
+++ b/heronstall/dataplane/batch_runner.py
@@ -173,11 +173,27 @@
             leases = LeaseReply().parse(reply.body)
             for job in leases.ended:
                 self._end(job)
+            self._note_time_left(leases)
             for leased in leases.items:
                 self._start(shard, leased)
             if leases.ended:
                 await at_most(freed, POLL_HOLD)  # until their runs have ended
 
+    def _note_time_left(self, leases: LeaseReply) -> None:
+        """Tell the bounds how soon what was leased is due; what is late already is not urgent any more."""
+        left = []
+        for leased in leases.items:
+            route = self._batch_route(leased)
+            if route is not None and leased.due_in_ms > RUN_TIME * 1000:
+                left.append(leased.due_in_ms / 1000 / route.completion)
+        if leases.items:
+            self._admission.items.leased(min(left, default=1.0))
+
+    def _batch_route(self, leased: LeasedItem) -> Route | None:
+        """The route of a leased item's job, if this dispatcher's configuration has it."""
+        routes = self._routes().by_host.get(leased.host, ())
+        return next((route for route in routes if route.name == leased.route), None)
+
     async def _call_for_items(self, shard: str, want: int, freed: asyncio.Event) -> Reply | None:
         """The owner's answer; None where nothing was wanted and a place has become free meanwhile.
 
@@ -217,7 +233,7 @@
         for service in {
             t[0] for h in self._routes().by_host.values() for r in h for t in self._targets(r, shard)
         }:
-            places += self._admission.item_places(service)
+            places += self._admission.items_to_lease(service)
         return max(0, places - len(self._running))
 
     @staticmethod
--- /dev/null
+++ b/heronstall/dataplane/item_places.py
@@ -0,0 +1,96 @@
+"""How many batch items a dispatcher runs, and which workers have room for one. Free of I/O.
+
+What live requests leave free at a worker is shared out among the dispatchers by their seats. So items are
+spread evenly over the workers, though dispatchers hear of each other's late. How much is left to live
+requests depends on how soon the items that this dispatcher is given are due.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterator
+
+from heronstall.dataplane.subset import Share
+from heronstall.dataplane.workers import WorkerPool, WorkerState
+
+# Square roots of a worker's places that items leave free for live requests to come: these vary by such roots.
+SPARE_AT_LEISURE = 1.2
+SPARE_URGENT = 0.2
+# Parts of its job's time that an item has left when it is leased: urgent up to one, not from the other on.
+URGENT_LEFT = 0.2
+LEISURE_LEFT = 0.6
+TOLD_FOR = 2.0  # seconds for which the time left of a leased item counts
+LEAST_FULL = 0.5  # requests at a worker below which it takes an item, however few places it has
+ITEMS_LEAST = 0.1  # part of a worker's places that batch items get, however many live requests there are
+IDLE = 0.25  # part of a worker's places in use below which it takes an item of a dispatcher that runs none
+FIRST_PLACES = 2.0  # batch items that a dispatcher runs at its start
+PLACES_PER_SECOND = 5.0  # by which that grows, until the others are known
+AHEAD = 0.3  # items leased beyond the places, as a part of these: a place that becomes free waits for no call
+
+
+class ItemPlaces:
+    """Bounds the batch items of one dispatcher."""
+
+    def __init__(self, pool: WorkerPool, clock: Callable[[], float]) -> None:
+        self._pool, self._clock = pool, clock
+        self.began = clock()
+        self._left = 1.0  # part of their jobs' time that items had when they were leased
+        self._left_at = -math.inf
+
+    def leased(self, left: float) -> None:
+        """Items have been leased; the least part of its job's time that one has left, 1 if all are late."""
+        self._left, self._left_at = left, self._clock()
+
+    def takes(self, worker: WorkerState) -> bool:
+        """Whether a worker has room for a batch item of this dispatcher."""
+        share = self._pool.shares(worker.entry.service).get(worker.entry.id)
+        if share is not None and worker.total < self._full(worker) and worker.items < self._at(worker, share):
+            return True
+        return self._is_idle(worker) and not self._running(worker.entry.service)
+
+    def room(self, service: str) -> bool:
+        """Whether some worker takes a batch item now."""
+        return any(self.takes(worker) for worker in self._reached(service))
+
+    def most(self, service: str) -> int:
+        """Batch items that this dispatcher may run for a service at a time."""
+        shares = self._pool.shares(service)
+        places, idle = 0, False
+        for worker in self._reached(service):
+            share = shares.get(worker.entry.id)
+            if share is not None:
+                places += self._at(worker, share)
+            idle = idle or self._is_idle(worker)
+        started = FIRST_PLACES + PLACES_PER_SECOND * (self._clock() - self.began)
+        return min(int(started), max(places, int(idle)))
+
+    def to_lease(self, service: str) -> int:
+        """Batch items of a service that this dispatcher may hold, those that wait for a place included."""
+        return math.ceil((1 + AHEAD) * self.most(service))
+
+    def _reached(self, service: str) -> Iterator[WorkerState]:
+        now = self._clock()
+        return (w for w in self._pool.of(service) if w.ready and w.avoid_until <= now)
+
+    def _at(self, worker: WorkerState, share: Share) -> int:
+        """This dispatcher's places at a worker: whole ones, of which each is one dispatcher's."""
+        left = self._full(worker) - worker.live
+        return share.of(max(1.0, ITEMS_LEAST * worker.capacity, left))
+
+    def _full(self, worker: WorkerState) -> float:
+        """Requests and items at a worker from which it has no room for an item."""
+        return max(LEAST_FULL, worker.capacity - self._spare() * math.sqrt(worker.capacity))
+
+    def _spare(self) -> float:
+        if self._clock() - self._left_at > TOLD_FOR:
+            return SPARE_AT_LEISURE
+        leisure = (self._left - URGENT_LEFT) / (LEISURE_LEFT - URGENT_LEFT)
+        return SPARE_URGENT + (SPARE_AT_LEISURE - SPARE_URGENT) * min(1.0, max(0.0, leisure))
+
+    def _running(self, service: str) -> int:
+        return sum(worker.items for worker in self._pool.of(service))
+
+    @staticmethod
+    def _is_idle(worker: WorkerState) -> bool:
+        """Whether a worker takes an item whosever its places are: their dispatcher may be gone or cut off."""
+        return worker.total < IDLE * worker.capacity
--- a/heronstall/dataplane/node.py
+++ b/heronstall/dataplane/node.py
@@ -145,7 +145,7 @@
         )
 
     def _answered(self) -> None:
-        self.admission.seat = Seat(self.view.edge_number, self.view.edges)
+        self.pool.seat = Seat(self.view.edge_number, self.view.edges)
         self.pool.take_loads(self.view.loads)
 
     def _news(self, changed: set[str]) -> None:
--- a/heronstall/dataplane/subset.py
+++ b/heronstall/dataplane/subset.py
@@ -7,9 +7,11 @@
 
 from __future__ import annotations
 
+import math
 import zlib
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 LEAST = 3  # workers that a dispatcher prefers, however little it has to do
 IDLE = 2  # preferred workers beyond the streams that it has in flight
@@ -38,3 +40,32 @@
         return frozenset()
     start = (seat.number - 1) * len(workers) // max(seat.number, seat.dispatchers)
     return frozenset(workers[(start + step) % len(workers)] for step in range(size))
+
+
+class Share(NamedTuple):
+    """The part of a worker that is one dispatcher's, from 0 to 1."""
+
+    begin: float
+    end: float
+
+    def of(self, places: float) -> int:
+        """Whole places of this part: the dispatchers' parts of a worker add up to all of them."""
+        return math.floor(self.end * places + 0.5) - math.floor(self.begin * places + 0.5)
+
+
+def shares(workers: list[str], seat: Seat) -> dict[str, Share]:
+    """A dispatcher's shares of the workers of a ring, cut into as many equal parts as dispatchers live.
+
+    One without a known seat has none.
+    """
+    if not seat.number:
+        return {}
+    dispatchers = max(seat.number, seat.dispatchers)
+    begin = (seat.number - 1) * len(workers) / dispatchers
+    end = seat.number * len(workers) / dispatchers
+    found = {}
+    for place in range(int(begin), min(len(workers), math.ceil(end))):
+        share = Share(max(0.0, begin - place), min(1.0, end - place))
+        if share.end > share.begin:
+            found[workers[place]] = share
+    return found
--- a/heronstall/dataplane/workers.py
+++ b/heronstall/dataplane/workers.py
@@ -13,7 +13,7 @@
 from heronstall.dataplane.attempts import Attempt, Attempts, LoadView
 from heronstall.dataplane.connections import FreshestFirst, RestLimit
 from heronstall.dataplane.pace import Pace
-from heronstall.dataplane.subset import ring
+from heronstall.dataplane.subset import Seat, Share, ring, shares
 from heronstall.sessions.loads import WorkerLoad
 from heronstall.transport.messages import Worker as Entry
 
@@ -157,6 +157,8 @@
         self.by_id: dict[str, WorkerState] = {}
         self._by_service: dict[str, list[WorkerState]] = {}
         self._rings: dict[str, list[str]] = {}
+        self._seat = Seat()
+        self._shares: dict[str, dict[str, Share]] = {}
         self.changed = asyncio.Event()
 
     def update(self, entries: dict[str, Entry]) -> None:
@@ -179,9 +181,27 @@
             service: ring(w.entry.id for w in workers if w.ready)
             for service, workers in self._by_service.items()
         }
+        self._shares = {}
         self.changed.set()
         self.changed = asyncio.Event()
 
+    @property
+    def seat(self) -> Seat:
+        """This dispatcher's place among all."""
+        return self._seat
+
+    @seat.setter
+    def seat(self, seat: Seat) -> None:
+        if seat != self._seat:
+            self._seat, self._shares = seat, {}
+
+    def shares(self, service: str) -> dict[str, Share]:
+        """This dispatcher's shares of the ready workers of a service, by worker."""
+        found = self._shares.get(service)
+        if found is None:
+            found = self._shares[service] = shares(self.ring(service), self._seat)
+        return found
+
     def close(self) -> None:
         """End all connections to workers: the process ends."""
         for worker in self.by_id.values():
