A core node advises where large prompts are read, so that none waits behind another

A count of tokens of thousands of digits shares nothing (it raised). Tests: test_reading_plan.py; test_dataplane, test_attempt_ends, test_layers pass with it (84 passed).

--- a/heronstall/controlplane/core.py
+++ b/heronstall/controlplane/core.py
@@ -10,6 +10,7 @@
 
 from heronstall.config import NodeSettings
 from heronstall.controlplane.hosting import Superseded
+from heronstall.controlplane.planning import ReadingPlans
 from heronstall.controlplane.replica_node import ReplicaNode
 from heronstall.controlplane.state import worker_shard
 from heronstall.controlplane.state.config_shard import (
@@ -22,6 +23,7 @@
 from heronstall.controlplane.state.worker_shard import WorkerShard
 from heronstall.distribution.freshness import TOLD_WITHIN
 from heronstall.distribution.shards import BATCH_SHARDS, CONFIG, WORKER_SHARDS
+from heronstall.distribution.shards import worker_shard as shard_of_service
 from heronstall.ownership.placement import Candidate, first_placement, repaired
 from heronstall.replication import membership
 from heronstall.replication.protocol import address_of
@@ -33,6 +35,7 @@
 from heronstall.transport.messages import (
     ConfigChange,
     Placement,
+    PlaceRequest,
     SessionTable,
     StoreNode,
     SyncReply,
@@ -60,6 +63,7 @@
     def __init__(self, settings: NodeSettings) -> None:
         super().__init__(settings, LOG_LIMIT, DISK_PARTS)
         self.sessions = Sessions()
+        self.plans = ReadingPlans(self.sessions, time.monotonic)
         self.config = ConfigShard()
         self.workers = {name: WorkerShard() for name in WORKER_SHARDS}
         self.heard: dict[str, float] = {}  # by worker: its latest heartbeat at this node
@@ -169,6 +173,8 @@
     async def _serve(self, kind: Kind, body: bytes) -> Reply:
         if kind == Kind.SYNC:
             return await self._sync(SyncRequest().parse(body))
+        if kind == Kind.PLACE:
+            return self._place_prompt(PlaceRequest().parse(body))
         if kind == Kind.WORKER_END:
             return await self._serve_end(WorkerEnd().parse(body))
         return Reply(Status.REFUSED)
@@ -200,6 +206,12 @@
             except TimeoutError:
                 continue
 
+    def _place_prompt(self, request: PlaceRequest) -> Reply:
+        """Advise where a prompt is to be read. A node out of touch knows neither workers nor loads."""
+        if not self.fresh():
+            return Reply(Status.UNSURE)
+        return self.plans.answer(request, self.workers[shard_of_service(request.service)].workers)
+
     def fresh(self) -> bool:
         """Whether this node's views hold all that was acknowledged until lately, so that they may be told."""
         now = self.host.now()
--- a/heronstall/dataplane/admission.py
+++ b/heronstall/dataplane/admission.py
@@ -41,6 +41,10 @@
         """A worker to send to."""
         return self._draw.pick(service, prefix, tried, for_item)
 
+    def usable(self, worker: str, service: str) -> WorkerState | None:
+        """A worker by name, where requests of a service may go to it now."""
+        return self._draw.usable(worker, service)
+
     def home_rank(self, worker: WorkerState, prefix: SharedPrefix) -> int | None:
         """A worker's place, from 0, among those that a prompt's shared part belongs to; None: to nobody."""
         return self._draw.home_rank(worker, prefix)
--- a/heronstall/dataplane/draw.py
+++ b/heronstall/dataplane/draw.py
@@ -47,12 +47,7 @@
         """A worker to send to, by a draw weighted by the inverse of one plus own work there."""
         now = self._clock()
         able = [w for w in self._pool.of(service) if w.ready and w.entry.id not in tried]
-        aside = self._set_aside(able, now)
-        good = [
-            w
-            for w in able
-            if w.avoid_until <= now and not w.attempts.suspected(now) and w.entry.id not in aside
-        ]
+        good = self._sound(able, now)
         if not good and not for_item:
             good = able
         if for_item:
@@ -75,6 +70,21 @@
             ]
         return self._random.choices(good, weights)[0]
 
+    def usable(self, worker: str, service: str) -> WorkerState | None:
+        """A worker by name, where requests of a service may go to it now."""
+        ready = [w for w in self._pool.of(service) if w.ready]
+        sound = self._sound(ready, self._clock())
+        return next((w for w in sound if w.entry.id == worker), None)
+
+    def _sound(self, workers: Sequence[WorkerState], now: float) -> list[WorkerState]:
+        """Workers that have not failed lately, here or by the others' word."""
+        aside = self._set_aside(workers, now)
+        return [
+            w
+            for w in workers
+            if w.avoid_until <= now and not w.attempts.suspected(now) and w.entry.id not in aside
+        ]
+
     def home_rank(self, worker: WorkerState, prefix: SharedPrefix) -> int | None:
         """A worker's place, from 0, among those that a prompt's shared part belongs to; None: to nobody."""
         if prefix.tokens < LARGE_PREFIX:
--- a/heronstall/dataplane/forwarding.py
+++ b/heronstall/dataplane/forwarding.py
@@ -19,7 +19,8 @@
 from heronstall.dataplane.events import EventReader
 from heronstall.dataplane.framing import is_framed
 from heronstall.dataplane.misses import EndedRequest, MissLog, RequestTimes
-from heronstall.dataplane.prefixes import SharedPrefix, shared_prefix
+from heronstall.dataplane.placing import PlacedPrompt, PromptPlacer
+from heronstall.dataplane.prefixes import TOKEN_DIGITS, SharedPrefix, shared_prefix
 from heronstall.dataplane.routing import Route, RouteType
 from heronstall.dataplane.workers import UnsendablePath, WorkerPool, WorkerState, note_attempt
 
@@ -30,7 +31,6 @@
 TARGET = "Heronstall-Target-Instance"
 PREFIX = "Heronstall-Prompt-Prefix"
 USAGE = "Heronstall-Token-Usage"
-TOKEN_DIGITS = 9  # of a number of tokens, at the most
 NOT_EXECUTED = "Heronstall-Not-Executed"
 SIGNATURE = "Heronstall-Response-Signature"
 LAST_EVENT = "Last-Event-Id"
@@ -78,6 +78,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     deferred: float = 0.0  # seconds behind urgent requests
     held: float = 0.0  # seconds without a worker to send it to
+    placed: PlacedPrompt | None = None  # by a planner, for its first attempt
 
     @property
     def may_have_run(self) -> bool:
@@ -161,8 +162,10 @@
         admission: Admission,
         closes_after: Callable[[web.BaseRequest], bool] = lambda request: False,
         misses: MissLog | None = None,
+        placer: PromptPlacer | None = None,
     ) -> None:
         self._pool, self._admission = pool, admission
+        self._placer = placer
         self._misses = misses or MissLog()
         self._closes_after = closes_after  # whether an answer is to be its connection's last
 
@@ -193,6 +196,10 @@
 
     async def _pick(self, passage: Passage) -> WorkerState | None:
         """A worker; one that was not tried yet waits a moment where there is none."""
+        if self._placer is not None and not passage.tried and self._placer.is_large(passage.prefix):
+            placed = await self._place(self._placer, passage)
+            if placed is not None:
+                return placed
         worker = self._admission.pick(passage.service, passage.prefix, passage.tried)
         if worker is not None or passage.tried:
             return worker
@@ -204,6 +211,13 @@
         passage.held += time.monotonic() - began
         return worker
 
+    async def _place(self, placer: PromptPlacer, passage: Passage) -> WorkerState | None:
+        """The worker that a planner names for a large prompt, if it can be used from here."""
+        placed = await placer.place(passage.service, passage.prefix, passage.prompt_tokens)
+        worker = self._admission.usable(placed.worker, passage.service) if placed is not None else None
+        passage.placed = placed if worker is not None else None
+        return worker
+
     async def _wait_for_worker(self, until: float) -> None:
         try:
             async with asyncio.timeout(max(0.0, min(0.02, until - time.monotonic()))):
@@ -337,6 +351,8 @@
         if first:
             seconds = worker.attempts.first_heard(passage.attempt)
             self._admission.first_event(worker, passage.prefix.tokens, seconds)
+            if self._placer is not None and passage.placed is not None and not passage.tried:
+                self._placer.first_event(passage.service, passage.placed, seconds)
         else:
             worker.attempts.heard(passage.attempt)
 
--- a/heronstall/dataplane/node.py
+++ b/heronstall/dataplane/node.py
@@ -17,6 +17,7 @@
 from heronstall.dataplane.forwarding import Forwarder
 from heronstall.dataplane.ingress import Ingress
 from heronstall.dataplane.misses import MissLog
+from heronstall.dataplane.placing import PromptPlacer
 from heronstall.dataplane.routing import read_routes
 from heronstall.dataplane.shard_client import ShardClient
 from heronstall.dataplane.subset import Seat
@@ -55,7 +56,11 @@
             settings.name, shards, self.admission, self.deferred, lambda: self.ingress.routes, self.misses
         )
         forwarder = Forwarder(
-            self.pool, self.admission, lambda request: self.front.closes_after(request), self.misses
+            self.pool,
+            self.admission,
+            lambda request: self.front.closes_after(request),
+            self.misses,
+            PromptPlacer(self.links, self.view),
         )
         bounds = settings.bounds
         self.ingress = Ingress(
--- a/heronstall/dataplane/prefixes.py
+++ b/heronstall/dataplane/prefixes.py
@@ -5,12 +5,15 @@
 import zlib
 from typing import NamedTuple
 
+TOKEN_DIGITS = 9  # of a number of tokens, at the most
+
 
 class SharedPrefix(NamedTuple):
     """The largest shared part of a prompt, and the tokens of all shared parts."""
 
     part: str
     tokens: int
+    largest: int = 0  # tokens of that part
 
 
 NOTHING = SharedPrefix("", 0)
@@ -21,13 +24,13 @@
     largest, most, total = "", 0, 0
     for part in header.split(",")[:-1]:
         name, _, size = part.strip().partition(":")
-        if not size.isdigit():
+        if not size.isdecimal() or len(size) > TOKEN_DIGITS:
             return NOTHING
         tokens = int(size)
         total += tokens
         if tokens > most:
             largest, most = name, tokens
-    return SharedPrefix(largest, total)
+    return SharedPrefix(largest, total, most)
 
 
 def affinity(part: str, worker: str) -> int:
--- a/heronstall/model/serving/fleet.py
+++ b/heronstall/model/serving/fleet.py
@@ -9,7 +9,7 @@
 import heapq
 import random
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from functools import partial
 from typing import Any
@@ -17,12 +17,14 @@
 import numpy as np
 
 from heronstall.dataplane.admission import Admission
-from heronstall.dataplane.prefixes import shared_prefix
+from heronstall.dataplane.placing import PromptPlacer
+from heronstall.dataplane.prefixes import SharedPrefix, shared_prefix
 from heronstall.dataplane.subset import Seat
 from heronstall.dataplane.workers import WorkerPool, WorkerState
 from heronstall.model.kernel import VirtualTime
 from heronstall.model.serving.engine import MICROSECONDS, Engine, EngineRequest, PromptPart
 from heronstall.model.serving.load import Deployment, Draws, RequestKind
+from heronstall.placement.reading import Load, Prompt, ReadingPlanner
 from heronstall.sessions.loads import WorkerLoad
 from heronstall.transport.messages import Worker
 
@@ -49,6 +51,7 @@
     job: ModelJob | None = None
     first_at: int = 0
     tried: set[str] = field(default_factory=set)
+    placed_tokens: int = 0  # that a planner takes to be read for it
 
     @property
     def size(self) -> int:
@@ -109,6 +112,7 @@
                 seconds = (fleet.time.now - sent_at) / MICROSECONDS
                 tokens = sum(part.tokens for part in request.prompt[:-1])
                 self.admission.first_event(worker, tokens, seconds)
+                fleet.planner.heard(request.placed_tokens, seconds)
 
         def done() -> None:
             worker.items -= request.job is not None
@@ -127,10 +131,12 @@
     def offer(self, request: ModelRequest) -> None:
         """Find a worker for a request."""
         header = ",".join(f"{part.name}:{part.tokens}" for part in request.prompt)
+        prefix = shared_prefix(header)
+        if request.job is None and not request.tried and PromptPlacer.is_large(prefix):
+            self.send(request, self._fleet.place(self, request, prefix))
+            return
         if len(request.tried) < TRIES:
-            worker = self.admission.pick(
-                SERVICE, shared_prefix(header), request.tried, for_item=request.job is not None
-            )
+            worker = self.admission.pick(SERVICE, prefix, request.tried, for_item=request.job is not None)
             if worker is not None:
                 self.send(request, worker)
                 return
@@ -166,6 +172,7 @@
         self._means: dict[str, list[float]] = {}
         self._ended: list[tuple[ModelRequest, float]] = []
         self.spread: list[float] = []
+        self.planner = ReadingPlanner()
         self._open_tokens = 0
         self.turned_away = 0  # items of jobs that were over the quota
 
@@ -247,6 +254,25 @@
         else:
             self.turned_away += 1
 
+    def place(self, dispatcher: ModelDispatcher, request: ModelRequest, prefix: SharedPrefix) -> WorkerState:
+        """The worker that the planner names for a large prompt."""
+        tokens = sum(part.tokens for part in request.prompt)
+        prompt = Prompt(prefix.part, prefix.largest, tokens - prefix.largest)
+        places = self.deployment.engine.places
+        placed = self.planner.place(
+            self.time.now / MICROSECONDS,
+            prompt,
+            list(self.engines),
+            lambda name: Load(sum(self._told_at(name)), places),
+        )
+        assert placed is not None
+        request.placed_tokens = placed.tokens
+        return dispatcher.pool.by_id[placed.worker]
+
+    def _told_at(self, worker: str) -> Iterator[int]:
+        loads = (told.get(worker) for told in self._told)
+        return (load.requests + load.items for load in loads if load is not None)
+
     def _pull(self, dispatcher: ModelDispatcher, number: int) -> None:
         self._told[number] = {load.worker: load for load in dispatcher.pool.loads()}
         sums: dict[str, WorkerLoad] = {}
--- a/heronstall/sessions/table.py
+++ b/heronstall/sessions/table.py
@@ -82,6 +82,10 @@
                 found.append(load)
         return found
 
+    def at_worker(self, worker: str) -> int:
+        """Requests and items that all dispatchers have at a worker, by their latest word."""
+        return self._requests[worker] + self._items[worker]
+
     def expire(self, now: float) -> None:
         """Forget sessions that ended long ago."""
         for name in [n for n, (at, _) in self._known.items() if now - at > 20 * EXPIRE]:
--- a/heronstall/transport/frames.py
+++ b/heronstall/transport/frames.py
@@ -24,6 +24,7 @@
     FINISH = 8
     SESSIONS = 9
     WORKER_END = 10
+    PLACE = 11
 
 
 class Status(IntEnum):
--- a/heronstall/transport/messages.py
+++ b/heronstall/transport/messages.py
@@ -242,6 +242,27 @@
     edge_number: int = betterproto.uint32_field(10)
 
 
+@dataclass
+class PlaceRequest(betterproto.Message):
+    """
+    Where a large prompt is to be read; `read_tokens` and `read_ms` tell how
+    long one that was placed before took.
+    """
+
+    service: str = betterproto.string_field(1)
+    part: str = betterproto.string_field(2)
+    shared: int = betterproto.uint32_field(3)
+    own: int = betterproto.uint32_field(4)
+    read_tokens: int = betterproto.uint32_field(5)
+    read_ms: int = betterproto.uint32_field(6)
+
+
+@dataclass
+class PlaceReply(betterproto.Message):
+    worker: str = betterproto.string_field(1)
+    tokens: int = betterproto.uint32_field(2)
+
+
 @dataclass
 class Header(betterproto.Message):
     """Batch jobs."""
--- a/tests/tier/test_dataplane.py
+++ b/tests/tier/test_dataplane.py
@@ -100,7 +100,7 @@
 
 class Prefixes(unittest.TestCase):
     def test_the_last_part_is_not_shared(self) -> None:
-        self.assertEqual(shared_prefix("ab:800,cd:410,ef:250"), ("ab", 1210))
+        self.assertEqual(shared_prefix("ab:800,cd:410,ef:250"), ("ab", 1210, 800))
         self.assertEqual(shared_prefix("ab:800"), NOTHING)
 
     def test_what_cannot_be_read_shares_nothing(self) -> None:
--- a/tests/tier/test_item_places.py
+++ b/tests/tier/test_item_places.py
@@ -106,18 +106,18 @@
 class SharedOut(PlacesCase):
     async def test_dispatchers_together_use_each_place_once(self) -> None:
         for workers, count, capacity, live in (
-            (45, 68, 12, 4),
-            (6, 7, 32, 9),
-            (5, 6, 48, 20),
-            (3, 50, 4, 1),
-            (7, 2, 10, 0),
+            (45, 68, 12, 4.0),
+            (6, 7, 32, 9.0),
+            (5, 6, 48, 20.0),
+            (3, 50, 4, 1.0),
+            (7, 2, 10, 0.0),
         ):
             with self.subTest(workers=workers, dispatchers=count):
                 taken: Counter[str] = Counter()
                 for number in range(1, count + 1):
                     pool, admission, _ = self.dispatcher(Seat(number, count), workers, capacity)
                     for worker in pool.by_id.values():
-                        worker.others_live = float(live)
+                        worker.others_live = live
                         while (
                             worker.others_live and admission.items.takes(worker) and worker.items < capacity
                         ):
--- a/tests/tier/test_layers.py
+++ b/tests/tier/test_layers.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parents[2] / "heronstall"
-DECISIONS = ("replication", "sessions", "distribution", "ownership", "batch", "policy")
+DECISIONS = ("replication", "sessions", "distribution", "ownership", "batch", "placement", "policy")
 PROGRAMS = ("dataplane", "controlplane")
 SOCKETS = ("socket", "asyncio", "aiohttp", "os", "pathlib", "threading", "select")
 NEW_LIBRARIES = ("aiohttp", "structlog", "betterproto", "serde", "result", "click")
--- /dev/null
+++ b/tests/tier/test_reading_plan.py
@@ -0,0 +1,217 @@
+"""Where large prompts are read: the planner, its answers at a core node, and the dispatcher's question."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from collections import Counter
+from unittest import mock
+
+from heronstall.controlplane.planning import SERVICES_MOST, ReadingPlans
+from heronstall.dataplane.placing import LEFT_OUT, PART_BYTES, PlacedPrompt, PromptPlacer
+from heronstall.dataplane.prefixes import NOTHING, shared_prefix
+from heronstall.distribution.view import View
+from heronstall.placement.reading import HELD_FOR, LOOKED_AT, PARTS_MOST, Load, Prompt, ReadingPlanner
+from heronstall.sessions.loads import WorkerLoad, pack
+from heronstall.sessions.table import Sessions
+from heronstall.transport.frames import Kind, Status
+from heronstall.transport.links import LOST, Reply
+from heronstall.transport.messages import PlaceReply, PlaceRequest, Session, Worker
+
+WORKERS = [f"w{k}" for k in range(8)]
+
+
+def idle(worker: str) -> Load:
+    return Load(0, 12)
+
+
+class Planner(unittest.TestCase):
+    def setUp(self) -> None:
+        self.planner = ReadingPlanner()
+
+    def place(self, now: float, part: str, shared: int = 20_000, own: int = 1_000) -> str:
+        placed = self.planner.place(now, Prompt(part, shared, own), WORKERS, idle)
+        assert placed is not None
+        return placed.worker
+
+    def test_prompts_that_come_together_are_read_apart(self) -> None:
+        placed = [self.place(0.0, f"p{k}") for k in range(8)]
+        self.assertEqual(set(placed), set(WORKERS))
+
+    def test_a_prompt_goes_where_its_shared_part_was_read(self) -> None:
+        first = self.place(0.0, "a")
+        for now in (5.0, 10.0, 15.0):
+            for other in range(4):
+                self.place(now, f"{now}-{other}")
+            self.assertEqual(self.place(now + 1.0, "a"), first)
+
+    def test_it_goes_elsewhere_while_that_worker_reads_for_longer_than_the_part_takes(self) -> None:
+        first = self.place(0.0, "a")
+        self.planner._reads_until[first] = 2.0
+        self.assertNotEqual(self.place(0.5, "a"), first)
+
+    def test_a_part_that_nobody_asked_for_is_taken_for_forgotten(self) -> None:
+        placed = self.planner.place(0.0, Prompt("a", 20_000, 1_000), WORKERS, idle)
+        again = self.planner.place(1.0, Prompt("a", 20_000, 1_000), WORKERS, idle)
+        later = self.planner.place(1.0 + HELD_FOR, Prompt("a", 20_000, 1_000), WORKERS, idle)
+        assert placed and again and later
+        self.assertEqual((placed.tokens, again.tokens, later.tokens), (21_000, 1_000, 21_000))
+
+    def test_a_full_worker_gets_a_prompt_only_where_others_cost_more(self) -> None:
+        def load(worker: str) -> Load:
+            return Load(30 if worker != "w5" else 3, 12)
+
+        placed = self.planner.place(0.0, Prompt("a", 20_000, 1_000), WORKERS, load)
+        assert placed is not None
+        self.assertEqual(placed.worker, "w5")
+
+    def test_without_workers_there_is_no_place(self) -> None:
+        self.assertIsNone(self.planner.place(0.0, Prompt("a", 1, 1), [], idle))
+
+    def test_the_speed_follows_the_faster_answers(self) -> None:
+        rng = random.Random(5)
+        for _ in range(600):
+            waited = rng.choice((0.0, 0.0, 0.02, 0.1, 0.3))
+            self.planner.heard(13_000, 13_000 / 250_000 + waited)
+        self.assertGreater(self.planner.speed, 150_000)
+        self.assertLess(self.planner.speed, 300_000)
+        self.planner.heard(0, 0.1)
+        self.planner.heard(10, 0.0)
+
+    def test_what_is_remembered_is_bounded(self) -> None:
+        for number in range(PARTS_MOST + 500):
+            self.place(number * 0.5, f"p{number}")
+        self.assertEqual(len(self.planner._holders), PARTS_MOST)
+        self.assertIn(f"p{PARTS_MOST + 499}", self.planner._holders)
+
+    def test_of_many_workers_some_are_looked_at_and_all_are_used(self) -> None:
+        many = [f"i-{k}" for k in range(600)]
+        used: Counter[str] = Counter()
+        looked = 0
+
+        def load(worker: str) -> Load:
+            nonlocal looked
+            looked += 1
+            return Load(0, 12)
+
+        for number in range(600):
+            placed = self.planner.place(0.0, Prompt(f"p{number}", 9_000, 100), many, load)
+            assert placed is not None
+            used[placed.worker] += 1
+        self.assertLessEqual(looked, 600 * LOOKED_AT)
+        self.assertEqual(max(used.values()), 1)
+
+
+class Answers(unittest.TestCase):
+    def setUp(self) -> None:
+        self.sessions = Sessions()
+        self.plans = ReadingPlans(self.sessions, lambda: 10.0)
+        self.workers = {
+            "w1": Worker(id="w1", service="lm", state="ready", capacity=4),
+            "w2": Worker(id="w2", service="lm", state="ready", capacity=4),
+            "w3": Worker(id="w3", service="lm", state="draining", capacity=4),
+            "w4": Worker(id="w4", service="other", state="ready", capacity=4),
+        }
+
+    def test_only_ready_workers_of_the_service_are_named(self) -> None:
+        named = set()
+        for number in range(20):
+            reply = self.plans.answer(PlaceRequest("lm", f"p{number}", 9000, 100), self.workers)
+            self.assertEqual(reply.status, Status.OK)
+            named.add(PlaceReply().parse(reply.body).worker)
+        self.assertEqual(named, {"w1", "w2"})
+        self.assertEqual(
+            self.plans.answer(PlaceRequest("none", "p", 9000, 1), self.workers).status, Status.UNKNOWN
+        )
+
+    def test_the_dispatchers_words_on_loads_count(self) -> None:
+        for edge in ("e1", "e2"):
+            loads = pack([WorkerLoad("w1", 3, 2)])
+            self.sessions.renew(10.0, Session(name=edge, machine_class="edge", loads=loads))
+        reply = self.plans.answer(PlaceRequest("lm", "p", 9000, 100), self.workers)
+        self.assertEqual(PlaceReply().parse(reply.body).worker, "w2")
+
+    def test_planners_are_bounded(self) -> None:
+        for number in range(SERVICES_MOST + 3):
+            self.plans.answer(PlaceRequest(f"s{number}", "p", 9000, 1), self.workers)
+        self.assertEqual(len(self.plans._planners), SERVICES_MOST)
+
+
+class FakeLinks:
+    """Answers of core nodes by address."""
+
+    def __init__(self, replies: dict[str, Reply]) -> None:
+        self.replies = replies
+        self.asked: list[tuple[str, PlaceRequest]] = []
+
+    def to(self, address: str) -> mock.Mock:
+        async def call(kind: Kind, body: bytes, within: float) -> Reply:
+            assert kind is Kind.PLACE and within < 0.1
+            self.asked.append((address, PlaceRequest().parse(body)))
+            return self.replies[address]
+
+        return mock.Mock(call=call)
+
+
+class Placer(unittest.IsolatedAsyncioTestCase):
+    PREFIX = shared_prefix("aa:13000,bb:200,own:3000")
+
+    def setUp(self) -> None:
+        self.now = 100.0
+        self.view = View()
+        self.view.control = ("c1", "c2", "c3")
+        good = Reply(Status.OK, bytes(PlaceReply("w7", 16_200)))
+        self.links = FakeLinks(dict.fromkeys(self.view.control, good))
+        self.placer = PromptPlacer(self.links, self.view, lambda: self.now)  # type: ignore[arg-type]
+
+    async def test_the_question_and_its_answer(self) -> None:
+        placed = await self.placer.place("lm", self.PREFIX, 16_200)
+        self.assertEqual(placed, PlacedPrompt("w7", 16_200))
+        ((_, asked),) = self.links.asked
+        self.assertEqual((asked.service, asked.part, asked.shared, asked.own), ("lm", "aa", 13_000, 3_200))
+        self.assertEqual(asked.read_tokens, 0)
+        assert placed is not None
+        self.placer.first_event("lm", placed, 0.25)
+        await self.placer.place("lm", self.PREFIX, 16_200)
+        self.assertEqual(
+            (self.links.asked[-1][1].read_tokens, self.links.asked[-1][1].read_ms), (16_200, 250)
+        )
+
+    async def test_all_dispatchers_ask_one_node_and_another_where_it_gives_no_answer(self) -> None:
+        await self.placer.place("lm", self.PREFIX, 16_200)
+        first = self.links.asked[0][0]
+        other = PromptPlacer(self.links, self.view, lambda: self.now)  # type: ignore[arg-type]
+        await other.place("lm", self.PREFIX, 16_200)
+        self.assertEqual(self.links.asked[1][0], first)
+        for lost in (LOST, Reply(Status.UNSURE), Reply(Status.REFUSED)):
+            with self.subTest(status=lost.status):
+                self.now += LEFT_OUT
+                self.links.replies[first] = lost
+                self.assertIsNone(await self.placer.place("lm", self.PREFIX, 16_200))
+                self.assertIsNotNone(await self.placer.place("lm", self.PREFIX, 16_200))
+                self.assertNotEqual(self.links.asked[-1][0], first)
+        self.links.replies = dict.fromkeys(self.view.control, LOST)
+        self.now += LEFT_OUT
+        asked = len(self.links.asked)
+        for _ in range(10):
+            self.assertIsNone(await self.placer.place("lm", self.PREFIX, 16_200))
+        self.assertEqual(len(self.links.asked) - asked, 3, "each once, then nobody for a while")
+
+    async def test_no_control_node_is_known(self) -> None:
+        self.view.control = ()
+        self.assertIsNone(await self.placer.place("lm", self.PREFIX, 16_200))
+
+    async def test_a_long_name_is_cut(self) -> None:
+        await self.placer.place("lm", shared_prefix("f" * 5000 + ":9000,own:1"), 9_001)
+        self.assertEqual(len(self.links.asked[0][1].part), PART_BYTES)
+
+    def test_small_prompts_are_not_asked_for(self) -> None:
+        self.assertTrue(self.placer.is_large(self.PREFIX))
+        self.assertFalse(self.placer.is_large(shared_prefix("aa:170,own:543")))
+
+    def test_a_count_of_tokens_beyond_reason_shares_nothing(self) -> None:
+        self.assertEqual(shared_prefix("aa:" + "9" * 5000 + ",own:1"), NOTHING)
+
+
+if __name__ == "__main__":
+    unittest.main()
