A worker that is named elsewhere is used only where it is sound from here

Cause: the planner knows nothing of a worker that answers late or with errors; a large prompt would go there again and again. Change: a named worker needs at least half of the usual trust and pace, and must not be avoided, suspected, set aside or draining. Test: test_dataplane, one more; its file passes.

--- a/heronstall/dataplane/draw.py
+++ b/heronstall/dataplane/draw.py
@@ -23,6 +23,7 @@
 ERRORS_USUAL = 0.04  # share of errors that counts for nothing
 ERROR_WEIGHT = 4.0  # by which a share beyond that lowers the weight
 DISTRUST = 0.06  # least weight
+USABLE = 0.5  # least product of trust and pace with which a worker is used that was named elsewhere
 ANSWERED_NOW = 0.5  # seconds: an answer so lately counts for more than what others say
 ASIDE_MOST = 0.34  # part of the workers that are set aside by others' words at the most
 
@@ -72,9 +73,12 @@
 
     def usable(self, worker: str, service: str) -> WorkerState | None:
         """A worker by name, where requests of a service may go to it now."""
-        ready = [w for w in self._pool.of(service) if w.ready]
-        sound = self._sound(ready, self._clock())
-        return next((w for w in sound if w.entry.id == worker), None)
+        now = self._clock()
+        sound = self._sound([w for w in self._pool.of(service) if w.ready], now)
+        named = next((w for w in sound if w.entry.id == worker), None)
+        if named is None or self._trust(named) * named.pace.weight(now) < USABLE:
+            return None
+        return named
 
     def _sound(self, workers: Sequence[WorkerState], now: float) -> list[WorkerState]:
         """Workers that have not failed lately, here or by the others' word."""
--- a/tests/tier/test_dataplane.py
+++ b/tests/tier/test_dataplane.py
@@ -368,6 +368,21 @@
                 worker.note_failing(failing)
         self.assertEqual(forget.call_count, 2)
 
+    def test_a_worker_that_was_named_elsewhere_is_used_only_where_it_is_sound_from_here(self) -> None:
+        def usable(name: str) -> bool:
+            return self.admission.usable(name, "s") is not None
+
+        now = time.monotonic()
+        self.assertTrue(usable("w0"))
+        self.assertFalse(usable("w9"))
+        self.assertIsNone(self.admission.usable("w0", "another"))
+        self.pool.by_id["w0"].entry.state = "draining"
+        self.admission.failed(self.pool.by_id["w1"])
+        for _ in range(30):
+            self.admission.answered(self.pool.by_id["w2"], 500)
+        self.pool.by_id["w3"].pace.doublings, self.pool.by_id["w3"].pace.at = 3.0, now
+        self.assertEqual([usable(f"w{k}") for k in range(4)], [False] * 4)
+
     def test_words_against_most_workers_set_none_aside(self) -> None:
         """Then those who say so are cut off themselves."""
         self.pool.take_loads({f"w{k}": WorkerLoad(f"w{k}", failing=4) for k in range(3)})
--- a/tests/tier/test_item_places.py
+++ b/tests/tier/test_item_places.py
@@ -4,7 +4,7 @@
 
 import random
 import unittest
-from collections import Counter
+from collections import Counter, defaultdict
 
 from heronstall.dataplane.admission import Admission
 from heronstall.dataplane.item_places import FIRST_PLACES, TOLD_FOR
@@ -132,7 +132,7 @@
     def test_the_shares_of_all_dispatchers_are_the_whole_ring(self) -> None:
         for workers, dispatchers in ((45, 68), (6, 7), (600, 350), (1, 9), (9, 1), (36, 36)):
             names = ring(f"i-{k}" for k in range(workers))
-            whole: Counter[str] = Counter()
+            whole: defaultdict[str, float] = defaultdict(float)
             places: Counter[str] = Counter()
             for number in range(1, dispatchers + 1):
                 for name, share in shares(names, Seat(number, dispatchers)).items():
