Leased items go elsewhere while a shared worker is out of reach; planned prompts are counted

Cause: read again: an item that was leased for a place at a worker that then cannot be reached would have waited until the registry drops that worker (4.3 s). A test of the table hung on the machine's uptime.

--- /dev/null
+++ b/benchmarks/paired_days.py
@@ -0,0 +1,188 @@
+"""Plays days of deployments on two revisions, pair by pair, and tells the difference with its uncertainty.
+
+    python -m benchmarks.paired_days play --bench BENCH --a REV --b REV --folder FOLDER SITE:DAY:SEED ...
+    python -m benchmarks.paired_days table --a REV --b REV [--b REV ...]
+
+`play` makes a clean worktree for each revision below FOLDER, plays each day on the one and then on the other,
+and copies the entries that the bench wrote to this journal. `table` pairs the journal's plays by site, day
+and seed: one row a pair, with the parts of the score, then the mean difference and its interval by site.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import shutil
+import subprocess
+import sys
+from collections import defaultdict
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import numpy as np
+
+JOURNAL = Path("journal")
+RESAMPLES = 10_000
+LEVEL = 0.95
+
+
+@dataclass(frozen=True)
+class DayPlay:
+    """One day as it was played."""
+
+    revision: str
+    site: str
+    day: str
+    seed: int
+    score: float
+    parts: dict[str, float]
+    prices: float
+    broken: bool
+    entry: str
+
+    @property
+    def key(self) -> tuple[str, str, int]:
+        """What two plays of a pair share."""
+        return self.site, self.day, self.seed
+
+
+@dataclass(frozen=True)
+class Pair:
+    """The same day on two revisions."""
+
+    a: DayPlay
+    b: DayPlay
+
+    @property
+    def difference(self) -> float:
+        """By how much B's score is higher."""
+        return self.b.score - self.a.score
+
+
+def plays(entries: Iterable[dict[str, Any]]) -> Iterator[DayPlay]:
+    """The days that were played by `run`, from entries of the journal."""
+    for entry in entries:
+        if entry.get("cmd") != "run" or entry.get("error") or not entry.get("days"):
+            continue
+        for day in entry["days"]:
+            if day.get("score") is None or "parts" not in day:
+                continue
+            yield DayPlay(
+                revision=entry["head"],
+                site=entry["site"],
+                day=day["name"],
+                seed=day["seed"],
+                score=day["score"],
+                parts={name: value for name, _, value in day["parts"]},
+                prices=sum(price[-1] for price in day["prices"]),
+                broken=bool(day["rules"] or day["fault"]),
+                entry=entry["id"],
+            )
+
+
+def paired(found: Iterable[DayPlay], a: str, b: Sequence[str]) -> list[Pair]:
+    """Pairs of plays on revision A and on one of B, each play used once, in the order of the journal."""
+    of_a: defaultdict[tuple[str, str, int], list[DayPlay]] = defaultdict(list)
+    of_b: defaultdict[tuple[str, str, int], list[DayPlay]] = defaultdict(list)
+    for play in found:
+        if play.revision.startswith(a):
+            of_a[play.key].append(play)
+        elif play.revision.startswith(tuple(b)):
+            of_b[play.key].append(play)
+    return [
+        Pair(one, other) for key in sorted(of_a) for one, other in zip(of_a[key], of_b[key], strict=False)
+    ]
+
+
+def interval(differences: Sequence[float], seed: int = 1) -> tuple[float, float]:
+    """A bootstrap interval of the mean of some differences."""
+    values = np.asarray(differences, dtype=float)
+    rng = np.random.default_rng(seed)
+    means = rng.choice(values, (RESAMPLES, len(values))).mean(axis=1)
+    low, high = np.quantile(means, [(1 - LEVEL) / 2, (1 + LEVEL) / 2])
+    return float(low), float(high)
+
+
+def rows(pairs: Sequence[Pair]) -> Iterator[str]:
+    """The table as Markdown: the pairs, then the means by site."""
+    yield "| site | day | seed | A | B | difference | parts A | parts B | entries |"
+    yield "| --- | --- | --- | --- | --- | --- | --- | --- | --- |"
+    for pair in pairs:
+        a, b = pair.a, pair.b
+        yield (
+            f"| {a.site} | {a.day} | {a.seed} | {_score(a)} | {_score(b)} | {pair.difference:+.3f} "
+            f"| {_parts(a)} | {_parts(b)} | {a.entry}, {b.entry} |"
+        )
+    yield ""
+    for site in sorted({pair.a.site for pair in pairs}):
+        found = [pair.difference for pair in pairs if pair.a.site == site]
+        low, high = interval(found)
+        mean = float(np.mean(found))
+        yield f"{site}: {len(found)} pairs, mean {mean:+.3f}, {LEVEL:.0%} from {low:+.3f} to {high:+.3f}"
+
+
+def _score(play: DayPlay) -> str:
+    return f"{play.score:.3f}{' BROKEN' if play.broken else ''}"
+
+
+def _parts(play: DayPlay) -> str:
+    return ", ".join(f"{value:.3f}" for value in play.parts.values()) + f"; {play.prices:.3f}"
+
+
+def journal() -> Iterator[dict[str, Any]]:
+    """The journal's entries, in order of time."""
+    for path in sorted(JOURNAL.glob("2*.json")):
+        yield json.loads(path.read_text())
+
+
+def play(bench: Path, revisions: Sequence[str], folder: Path, days: Sequence[str], why: str) -> None:
+    """Play each day on each revision in turn."""
+    trees = [worktree(folder, revision) for revision in revisions]
+    for text in days:
+        site, day, seed = text.rsplit(":", 2)
+        for tree, revision in zip(trees, revisions, strict=True):
+            reason = f"{why}: {day} seed {seed} on {revision}"[:119]
+            call = [str(bench), "run", str(Path(site).resolve()), day, "--seed", seed, "--why", reason]
+            subprocess.run(call, cwd=tree, check=False)
+            shutil.copytree(tree / "journal", JOURNAL, dirs_exist_ok=True)
+
+
+def worktree(folder: Path, revision: str) -> Path:
+    """A clean worktree of a revision."""
+    tree = folder / f"pair-{revision}"
+    if not tree.exists():
+        subprocess.run(["git", "worktree", "add", "-q", "--detach", str(tree), revision], check=True)
+    return tree
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Play pairs, or print their table."""
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
+    verbs = parser.add_subparsers(dest="verb", required=True)
+    playing = verbs.add_parser("play")
+    playing.add_argument("--bench", type=Path, required=True)
+    playing.add_argument("--folder", type=Path, required=True)
+    playing.add_argument("--why", default="pair")
+    playing.add_argument("days", nargs="+", metavar="SITE:DAY:SEED")
+    table = verbs.add_parser("table")
+    for verb in (playing, table):
+        verb.add_argument("--a", required=True, metavar="REV")
+        verb.add_argument("--b", required=True, action="append", metavar="REV")
+    options = parser.parse_args(arguments)
+    if options.verb == "play":
+        if any(text.count(":") < 2 or not text.rsplit(":", 1)[1].isdigit() for text in options.days):
+            parser.error("SITE:DAY:SEED is wanted, SEED a whole number")
+        play(options.bench, [options.a, *options.b], options.folder, options.days, options.why)
+    pairs = paired(plays(journal()), options.a, options.b)
+    if not pairs:
+        print("no pair of these revisions stands in the journal", file=sys.stderr)
+        return 1
+    for row in rows(pairs):
+        print(row)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/heronstall/dataplane/forwarding.py
+++ b/heronstall/dataplane/forwarding.py
@@ -115,6 +115,7 @@
             output_tokens=self.output_tokens,
             times=RequestTimes(self.arrived, self.deferred, self.held),
             attempts=self.attempts,
+            planned=self.placed is not None,
             status=status,
             deadline=self.deadline,
         )
--- a/heronstall/dataplane/item_places.py
+++ b/heronstall/dataplane/item_places.py
@@ -43,10 +43,27 @@
 
     def takes(self, worker: WorkerState) -> bool:
         """Whether a worker has room for a batch item of this dispatcher."""
+        if worker.total >= self._full(worker):
+            return False
         share = self._pool.shares(worker.entry.service).get(worker.entry.id)
-        if share is not None and worker.total < self._full(worker) and worker.items < self._at(worker, share):
-            return True
-        return self._is_idle(worker) and not self._running(worker.entry.service)
+        places = self._at(worker, share) if share is not None else 0
+        return worker.items < places if places else self._takes_outside(worker)
+
+    def _takes_outside(self, worker: WorkerState) -> bool:
+        """Whether a worker takes an item of a dispatcher that has no place there: one, in two cases.
+
+        It is nearly idle and the dispatcher runs none, since those who share it may be gone; or a worker that
+        the dispatcher has a share of is out of reach, and what it has leased is not to wait for that.
+        """
+        if worker.items:
+            return False
+        service = worker.entry.service
+        return (self._is_idle(worker) and not self._running(service)) or self._misses_a_worker(service)
+
+    def _misses_a_worker(self, service: str) -> bool:
+        now = self._clock()
+        shared = (self._pool.by_id.get(name) for name in self._pool.shares(service))
+        return any(w is None or w.avoid_until > now or w.attempts.suspected(now) for w in shared)
 
     def room(self, service: str) -> bool:
         """Whether some worker takes a batch item now."""
--- a/heronstall/dataplane/misses.py
+++ b/heronstall/dataplane/misses.py
@@ -63,6 +63,7 @@
     first_home: int = 0  # requests with a large shared part that went to the worker it belongs to
     second_home: int = 0
     elsewhere: int = 0
+    planned: int = 0  # that went where a planner named a worker
     connections: int = 0  # that were opened for them
 
 
@@ -77,6 +78,7 @@
     output_tokens: int
     times: RequestTimes
     attempts: Sequence[Attempt]
+    planned: bool  # its first worker was named by a planner
     status: int  # of the answer; 0 where the connection was cut, or the client left
     deadline: float  # steady time
 
@@ -160,6 +162,7 @@
         tally = self._tallies.setdefault(ended.route.name, RouteTally())
         tally.requests += 1
         tally.size += ended.size
+        tally.planned += ended.planned
         for attempt in ended.attempts:
             tally.connections += attempt.new_connection
         if ended.attempts and ended.attempts[0].home is not None:
@@ -212,6 +215,7 @@
                 first_home=tally.first_home,
                 second_home=tally.second_home,
                 elsewhere=tally.elsewhere,
+                planned=tally.planned,
                 connections=tally.connections,
             )
         self._tallies.clear()
--- a/heronstall/report/misses.py
+++ b/heronstall/report/misses.py
@@ -26,6 +26,7 @@
     "first_home",
     "second_home",
     "elsewhere",
+    "planned",
     "connections",
 )
 REQUEST_MISSED, ITEM_MISSED, JOB_MISSED, TALLY = "request missed", "item missed", "job missed", "requests"
@@ -107,12 +108,12 @@
         """The table for people."""
         yield (
             f"{'route':<24} {'ended':>7} {'missed':>7} {'share':>6} {'new conn.':>9}"
-            "  large prompts at home, second, elsewhere"
+            "  large prompts planned; at home, second, elsewhere"
         )
         for name, totals in sorted(self.routes.items()):
             c = totals.counts
             ended = max(1, c["requests"])
-            homes = f"{c['first_home']}, {c['second_home']}, {c['elsewhere']}"
+            homes = f"{c['planned']}; {c['first_home']}, {c['second_home']}, {c['elsewhere']}"
             yield (
                 f"{name:<24} {c['requests']:>7} {c['missed']:>7} {c['missed'] / ended:>6.1%}"
                 f" {c['connections'] / ended:>9.3f}  {homes}"
--- a/tests/tier/test_item_places.py
+++ b/tests/tier/test_item_places.py
@@ -102,6 +102,20 @@
         worker.items, worker.inflight, worker.others_live = 0, 0, 5
         self.assertEqual(admission.items.most("s"), 0)
 
+    async def test_what_was_leased_goes_elsewhere_while_a_shared_worker_is_out_of_reach(self) -> None:
+        pool, admission, _ = self.dispatcher(Seat(1, 4))
+        (mine,) = pool.shares("s")
+        places = admission.items.most("s")
+        for worker in pool.by_id.values():
+            worker.others_live = 4
+        others = [w for name, w in pool.by_id.items() if name != mine]
+        self.assertFalse(any(admission.items.takes(w) for w in others))
+        pool.by_id[mine].avoid_until = LONG_AFTER + 1
+        self.assertTrue(all(admission.items.takes(w) for w in others))
+        others[0].items, others[0].inflight = 1, 1
+        self.assertFalse(admission.items.takes(others[0]), "one at each")
+        self.assertLess(admission.items.most("s"), places, "nothing more is leased for its places")
+
 
 class SharedOut(PlacesCase):
     async def test_dispatchers_together_use_each_place_once(self) -> None:
--- a/tests/tier/test_misses.py
+++ b/tests/tier/test_misses.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 import unittest
 from typing import Any
@@ -46,7 +47,7 @@
     return made
 
 
-def ended(*attempts: Attempt, status: int = 200) -> EndedRequest:
+def ended(*attempts: Attempt, status: int = 200, deadline: float = math.inf) -> EndedRequest:
     return EndedRequest(
         request="q1",
         route=ROUTE,
@@ -55,8 +56,9 @@
         output_tokens=40,
         times=RequestTimes(ARRIVED, deferred=0.01, held=0.02),
         attempts=attempts,
+        planned=False,
         status=status,
-        deadline=DEADLINE,
+        deadline=deadline,
     )
 
 
@@ -87,7 +89,9 @@
                 self.check(wanted, request)
 
     def test_what_has_no_answer_at_its_deadline_has_timed_out(self) -> None:
-        self.check(MissReason.TIMED_OUT, ended(attempt(0.0, end=AttemptEnd.CUT_SHORT), status=504), now=5.0)
+        late = ended(attempt(0.0, end=AttemptEnd.CUT_SHORT), status=504, deadline=DEADLINE)
+        self.check(MissReason.TIMED_OUT, late, now=5.0)
+        self.check(MissReason.CUT, late, now=4.9)
 
     def test_the_pause_from_one_workers_last_event_to_the_next_ones_first_is_a_gap(self) -> None:
         resumed = ended(attempt(0.0, 0.2, 0.5, end=AttemptEnd.CUT_SHORT), attempt(0.6, 0.8, 0.9))
