While items wait, fewer places are left free: the quota would turn jobs away

Change: where the owner had all that was asked for, half a root of a worker's places is left free at the most (1.2 without a backlog). Tests: test_item_places.py.

--- a/heronstall/dataplane/batch_runner.py
+++ b/heronstall/dataplane/batch_runner.py
@@ -173,21 +173,21 @@
             leases = LeaseReply().parse(reply.body)
             for job in leases.ended:
                 self._end(job)
-            self._note_time_left(leases)
+            if want:
+                self._note_time_left(leases, backlog=len(leases.items) >= want)
             for leased in leases.items:
                 self._start(shard, leased)
             if leases.ended:
                 await at_most(freed, POLL_HOLD)  # until their runs have ended
 
-    def _note_time_left(self, leases: LeaseReply) -> None:
+    def _note_time_left(self, leases: LeaseReply, backlog: bool) -> None:
         """Tell the bounds how soon what was leased is due; what is late already is not urgent any more."""
         left = []
         for leased in leases.items:
             route = self._batch_route(leased)
             if route is not None and leased.due_in_ms > RUN_TIME * 1000:
                 left.append(leased.due_in_ms / 1000 / route.completion)
-        if leases.items:
-            self._admission.items.leased(min(left, default=1.0))
+        self._admission.items.leased(min(left, default=1.0), backlog)
 
     def _batch_route(self, leased: LeasedItem) -> Route | None:
         """The route of a leased item's job, if this dispatcher's configuration has it."""
--- a/heronstall/dataplane/item_places.py
+++ b/heronstall/dataplane/item_places.py
@@ -2,7 +2,7 @@
 
 What live requests leave free at a worker is shared out among the dispatchers by their seats. So items are
 spread evenly over the workers, though dispatchers hear of each other's late. How much is left to live
-requests depends on how soon the items that this dispatcher is given are due.
+requests depends on whether more items wait, and on how soon those given to this dispatcher are due.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 
 # Square roots of a worker's places that items leave free for live requests to come: these vary by such roots.
 SPARE_AT_LEISURE = 1.2
+SPARE_BACKLOG = 0.5  # while more items wait than dispatchers ask for: the quota would turn jobs away
 SPARE_URGENT = 0.2
 # Parts of its job's time that an item has left when it is leased: urgent up to one, not from the other on.
 URGENT_LEFT = 0.2
@@ -35,11 +36,15 @@
         self._pool, self._clock = pool, clock
         self.began = clock()
         self._left = 1.0  # part of their jobs' time that items had when they were leased
+        self._backlog = False
         self._left_at = -math.inf
 
-    def leased(self, left: float) -> None:
-        """Items have been leased; the least part of its job's time that one has left, 1 if all are late."""
-        self._left, self._left_at = left, self._clock()
+    def leased(self, left: float, backlog: bool) -> None:
+        """Items were asked for; `left` is the least part of its job's time that one has, 1 if all are late.
+
+        `backlog`: as many came as were wanted, so that others may wait.
+        """
+        self._left, self._backlog, self._left_at = left, backlog, self._clock()
 
     def takes(self, worker: WorkerState) -> bool:
         """Whether a worker has room for a batch item of this dispatcher."""
@@ -101,8 +106,9 @@
     def _spare(self) -> float:
         if self._clock() - self._left_at > TOLD_FOR:
             return SPARE_AT_LEISURE
+        most = SPARE_BACKLOG if self._backlog else SPARE_AT_LEISURE
         leisure = (self._left - URGENT_LEFT) / (LEISURE_LEFT - URGENT_LEFT)
-        return SPARE_URGENT + (SPARE_AT_LEISURE - SPARE_URGENT) * min(1.0, max(0.0, leisure))
+        return SPARE_URGENT + (most - SPARE_URGENT) * min(1.0, max(0.0, leisure))
 
     def _running(self, service: str) -> int:
         return sum(worker.items for worker in self._pool.of(service))
--- a/heronstall/model/serving/fleet.py
+++ b/heronstall/model/serving/fleet.py
@@ -291,14 +291,16 @@
     def _lease(self, dispatcher: ModelDispatcher) -> None:
         want = dispatcher.admission.items_to_lease(SERVICE) - dispatcher.held
         left = []
+        wanted = want
         while want > 0 and self._waiting:
             want -= 1
             dispatcher.held += 1
             leased = heapq.heappop(self._waiting)
             left.append((leased[0] - self.time.now) / MICROSECONDS / leased[2].kind.job_aim)
             heapq.heappush(dispatcher.items, leased)
-        if left:
-            dispatcher.admission.items.leased(min((part for part in left if part > 0), default=1.0))
+        if wanted > 0:
+            in_time = (part for part in left if part > 0)
+            dispatcher.admission.items.leased(min(in_time, default=1.0), backlog=not want)
 
     def _watch_spread(self) -> None:
         loads = [engine.load for engine in self.engines.values()]
--- a/tests/tier/test_item_places.py
+++ b/tests/tier/test_item_places.py
@@ -71,11 +71,16 @@
         leisure = admission.items.most("s")
         found = []
         for left in (0.9, 0.6, 0.4, 0.2, 0.05):
-            admission.items.leased(left)
+            admission.items.leased(left, backlog=False)
             found.append(admission.items.most("s"))
         self.assertEqual(found[0], leisure)
         self.assertEqual(found, sorted(found))
         self.assertGreaterEqual(found[-1], leisure + 10)
+        admission.items.leased(0.9, backlog=True)
+        backlog = admission.items.most("s")
+        self.assertTrue(leisure + 6 <= backlog < found[-1], backlog)
+        admission.items.leased(0.1, backlog=True)
+        self.assertEqual(admission.items.most("s"), found[-1])
         clock.now += TOLD_FOR + 0.1
         self.assertEqual(admission.items.most("s"), leisure, "nothing was leased for a while")
 
