A planner that has just begun sends shared parts to the homes that all nodes know

Change: a part that is not known counts as half held by the worker that a hash names for it, the same at every planner and for draws without a planner.

--- a/heronstall/dataplane/draw.py
+++ b/heronstall/dataplane/draw.py
@@ -6,9 +6,10 @@
 from collections.abc import Callable, Sequence
 from heapq import nlargest
 
-from heronstall.dataplane.prefixes import SharedPrefix, affinity
+from heronstall.dataplane.prefixes import SharedPrefix
 from heronstall.dataplane.subset import preferred
 from heronstall.dataplane.workers import WITNESSES, WorkerPool, WorkerState
+from heronstall.placement.reading import affinity
 
 LARGE_PREFIX = 1500  # shared tokens from which reading them again costs more than an uneven load
 # Power of the inverse of one plus own work at a worker: own work is known at once, the others' is not.
--- a/heronstall/dataplane/prefixes.py
+++ b/heronstall/dataplane/prefixes.py
@@ -1,8 +1,7 @@
-"""The shared parts of a prompt, and which worker is likely to have them in its cache."""
+"""The shared parts of a prompt."""
 
 from __future__ import annotations
 
-import zlib
 from typing import NamedTuple
 
 TOKEN_DIGITS = 9  # of a number of tokens, at the most
@@ -31,8 +30,3 @@
         if tokens > most:
             largest, most = name, tokens
     return SharedPrefix(largest, total, most)
-
-
-def affinity(part: str, worker: str) -> int:
-    """How strongly a part belongs to a worker: the same at every dispatcher, and even over the workers."""
-    return zlib.crc32(f"{worker}|{part}".encode())
--- a/heronstall/placement/reading.py
+++ b/heronstall/placement/reading.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import math
+import zlib
 from collections import OrderedDict
 from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import NamedTuple
@@ -26,6 +27,14 @@
 CROWDED = 0.05  # seconds that each request beyond a worker's places costs, and all places together in use
 
 
+HOME_HOLDS = 0.5  # chance that a part's home holds it, where the planner has not placed it yet
+
+
+def affinity(part: str, worker: str) -> int:
+    """How strongly a part belongs to a worker: the same at every node, and even over the workers."""
+    return zlib.crc32(f"{worker}|{part}".encode())
+
+
 class Prompt(NamedTuple):
     """A prompt to be placed: its largest shared part, that part's tokens, and all others."""
 
@@ -76,10 +85,18 @@
     ) -> Placed | None:
         """The worker at which a prompt is read soonest; None without workers."""
         holders = self._holders.get(prompt.part, {})
-        compared = self._compared(workers, holders)
+        held = any(self._holds(now, holders, worker) for worker in holders)
+        home = "" if held or not prompt.part else self._home(prompt.part, workers)
+        compared = self._compared(workers, (*holders, home))
         if not compared:
             return None
-        worker = min(compared, key=lambda name: self._cost(now, prompt, name, load(name), holders))
+
+        def to_read(worker: str) -> float:
+            if self._holds(now, holders, worker):
+                return prompt.own
+            return prompt.own + prompt.shared * (1 - HOME_HOLDS if worker == home else 1)
+
+        worker = min(compared, key=lambda name: self._cost(now, name, to_read(name), load(name)))
         tokens = prompt.own + (0 if self._holds(now, holders, worker) else prompt.shared)
         begins = max(now, self._reads_until.get(worker, 0.0))
         self._reads_until[worker] = begins + tokens / self.speed
@@ -96,12 +113,14 @@
         stretch = [*workers[self._turn :], *workers[: self._turn]][:LOOKED_AT]
         return stretch + [worker for worker in workers if worker in holders]
 
-    def _cost(
-        self, now: float, prompt: Prompt, worker: str, load: Load, holders: Mapping[str, float]
-    ) -> float:
-        """Seconds until the prompt is read there, and what a crowded worker costs beyond."""
+    @staticmethod
+    def _home(part: str, workers: Sequence[str]) -> str:
+        """Where a part goes that is not known here: a planner that has just begun finds it there."""
+        return max(workers, key=lambda worker: affinity(part, worker), default="")
+
+    def _cost(self, now: float, worker: str, tokens: float, load: Load) -> float:
+        """Seconds until so many tokens are read there, and what a crowded worker costs beyond."""
         wait = max(0.0, self._reads_until.get(worker, 0.0) - now)
-        tokens = prompt.own if self._holds(now, holders, worker) else prompt.own + prompt.shared
         beyond = max(0.0, load.requests + 1 - load.capacity)
         crowd = CROWDED * (beyond + load.requests / load.capacity)
         return wait + tokens / self.speed + crowd
--- a/tests/tier/test_dataplane.py
+++ b/tests/tier/test_dataplane.py
@@ -23,10 +23,11 @@
 from heronstall.dataplane.deferred import DeferredLane
 from heronstall.dataplane.events import EventReader
 from heronstall.dataplane.forwarding import USAGE, Passage
-from heronstall.dataplane.prefixes import NOTHING, affinity, shared_prefix
+from heronstall.dataplane.prefixes import NOTHING, shared_prefix
 from heronstall.dataplane.routing import Routes, RouteType, read_routes
 from heronstall.dataplane.subset import IDLE, LEAST, Seat, preferred, ring
 from heronstall.dataplane.workers import UnsendablePath, WorkerPool, WorkerState
+from heronstall.placement.reading import affinity
 from heronstall.sessions.loads import WorkerLoad
 from heronstall.transport.frames import Frame, FrameError, FrameReader, Kind, Status, encode
 from heronstall.transport.links import Reply
