--- a/heronstall/model/serving/engine.py
+++ b/heronstall/model/serving/engine.py
@@ -118,8 +118,8 @@
         return sum(request.to_read for request in self._reading)
 
     def submit(self, request: EngineRequest) -> bool:
-        """Take a request; False where the queue is full."""
-        if len(self._queue) >= self._spec.queue:
+        """Take a request; False where all places and the queue are full."""
+        if self.load >= self._spec.places + self._spec.queue:
             return False
         self._queue.append(request)
         if self._plan is None:
--- /dev/null
+++ b/tests/tier/test_names.py
@@ -0,0 +1,110 @@
+"""Decisions hang on what is observed, not on what things are called.
+
+Workers and shared parts are placed by hashes of their names, so other names of these place otherwise, as
+evenly: that is tested beside the planner and the shares. Nothing else may depend on a name.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import unittest
+from collections.abc import Callable
+
+from heronstall.dataplane.admission import Admission
+from heronstall.dataplane.misses import EndedRequest, miss_reason
+from heronstall.dataplane.prefixes import NOTHING, shared_prefix
+from heronstall.dataplane.routing import read_routes
+from heronstall.dataplane.subset import Seat
+from heronstall.dataplane.workers import WorkerPool
+from heronstall.sessions.loads import WorkerLoad
+from heronstall.transport.messages import Worker
+from tests.tier.test_misses import attempt, ended
+
+WORKERS, PLACES = 12, 8
+Rename = Callable[[str], str]
+
+
+def unchanged(name: str) -> str:
+    return name
+
+
+def replaced(name: str) -> str:
+    return f"quite-another-{name[::-1]}"
+
+
+def configuration(rename: Rename) -> bytes:
+    kinds = (("quick", "streaming", 200, 0), ("slow", "streaming", 500, 1), ("lots", "batch", 400, 2))
+    routes = [
+        {
+            "name": rename(name),
+            "hostname": f"{rename(name)}.example",
+            "path_prefix": f"/{rename(name)}/",
+            "route_type": kind,
+            "timeout_ms": 4000,
+            "target_latency_ms": aim,
+            "priority": priority,
+            "service": rename("lm"),
+            "resumable": True,
+            "gap_aim_ms": 250,
+        }
+        for name, kind, aim, priority in kinds
+    ]
+    return json.dumps({"revision": 3, "routes": routes, "services": [{"name": rename("lm")}]}).encode()
+
+
+class Names(unittest.IsolatedAsyncioTestCase):
+    def picked(self, rename: Rename) -> list[str]:
+        """The workers of a row of draws, by their own names, which are the same in both."""
+        pool = WorkerPool()
+        pool.update(
+            {
+                f"i-{k}": Worker(
+                    id=f"i-{k}",
+                    service=rename("lm"),
+                    state="ready",
+                    capacity=PLACES,
+                    zone=rename(f"z{k % 3}"),
+                )
+                for k in range(WORKERS)
+            }
+        )
+        pool.seat = Seat(2, 5)
+        admission = Admission(pool, random.Random(7), rename("z1"), clock=lambda: 100.0)
+        admission.items.began = 0.0
+        pool.take_loads({f"i-{k}": WorkerLoad(f"i-{k}", k % 5, k % 3) for k in range(WORKERS)})
+        prompts = (NOTHING, shared_prefix("aa:9000,bb:100"), NOTHING, shared_prefix("cc:300,dd:100"))
+        found = []
+        for number in range(200):
+            worker = admission.pick(rename("lm"), prompts[number % 4], set(), for_item=number % 4 == 2)
+            found.append(worker.entry.id if worker else "none")
+            if worker is not None:
+                admission.sent(worker)
+                admission.first_event(worker, 500, 0.05 * (number % 7))
+            if number % 3 == 0 and worker is not None:
+                admission.done(worker, number % 9 != 0)
+        return [*found, str(admission.items_to_lease(rename("lm")))]
+
+    async def test_draws_are_the_same_with_other_services_and_zones(self) -> None:
+        self.assertEqual(self.picked(unchanged), self.picked(replaced))
+        self.assertGreater(len(set(self.picked(unchanged))), 6, "the draws say something")
+
+    def test_routes_are_read_alike(self) -> None:
+        plain, other = read_routes(configuration(unchanged)), read_routes(configuration(replaced))
+        for name in ("quick", "slow", "lots"):
+            one = plain.find(f"{name}.example", f"/{name}/x")
+            two = other.find(f"{replaced(name)}.example", f"/{replaced(name)}/x")
+            assert one is not None and two is not None
+            with self.subTest(route=name):
+                self.assertEqual((one.type, one.target_latency), (two.type, two.target_latency))
+                if name != "lots":
+                    self.assertEqual(plain.deferrable(one), other.deferrable(two))
+
+    def test_a_miss_is_judged_alike(self) -> None:
+        for request in (ended(attempt(0.1, 0.5)), ended(status=503), ended(attempt(0.0, 0.1, gap=0.9))):
+            named = EndedRequest(**{**request.__dict__, "request": "another"})
+            self.assertIs(miss_reason(request, 1001.0), miss_reason(named, 1001.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
