The model sums told loads with the sessions' own table

Cause: found on reading the change again: ModelFleet added up what dispatchers tell by hand, where sessions/table.py does it in service; one field of it was read by nobody. Change: Sessions.renew, loads and at_worker serve the model too.

--- a/heronstall/model/serving/fleet.py
+++ b/heronstall/model/serving/fleet.py
@@ -9,7 +9,7 @@
 import heapq
 import random
 from collections import defaultdict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
 from typing import Any
@@ -25,8 +25,9 @@
 from heronstall.model.serving.engine import MICROSECONDS, Engine, EngineRequest, PromptPart
 from heronstall.model.serving.load import Deployment, Draws, RequestKind
 from heronstall.placement.reading import Load, Prompt, ReadingPlanner
-from heronstall.sessions.loads import WorkerLoad
-from heronstall.transport.messages import Worker
+from heronstall.sessions.loads import pack
+from heronstall.sessions.table import Sessions
+from heronstall.transport.messages import Session, Worker
 
 SERVICE = "model"
 PULL = 0.6  # seconds between two words on the others' loads
@@ -164,12 +165,11 @@
         names = [f"i-{int(self.draws.fleet.integers(2**40)):010x}" for _ in range(deployment.workers)]
         self.engines = {name: Engine(self.time, deployment.engine) for name in names}
         self.dispatchers = [ModelDispatcher(self, n) for n in range(deployment.dispatchers)]
-        self._told: list[dict[str, WorkerLoad]] = [{} for _ in self.dispatchers]
+        self._sessions = Sessions()  # as a core node sums what dispatchers tell
         self._waiting: list[tuple[int, int, ModelRequest]] = []  # items that no dispatcher has
         self._number = 0
         self.results: dict[str, KindResult] = {}
         self._windows: defaultdict[int, list[float]] = defaultdict(lambda: [0.0, 0.0])
-        self._means: dict[str, list[float]] = {}
         self._ended: list[tuple[ModelRequest, float]] = []
         self.spread: list[float] = []
         self.planner = ReadingPlanner()
@@ -263,30 +263,17 @@
             self.time.now / MICROSECONDS,
             prompt,
             list(self.engines),
-            lambda name: Load(sum(self._told_at(name)), places),
+            lambda name: Load(self._sessions.at_worker(name), places),
         )
         assert placed is not None
         request.placed_tokens = placed.tokens
         return dispatcher.pool.by_id[placed.worker]
 
-    def _told_at(self, worker: str) -> Iterator[int]:
-        loads = (told.get(worker) for told in self._told)
-        return (load.requests + load.items for load in loads if load is not None)
-
     def _pull(self, dispatcher: ModelDispatcher, number: int) -> None:
-        self._told[number] = {load.worker: load for load in dispatcher.pool.loads()}
-        sums: dict[str, WorkerLoad] = {}
-        for other, told in enumerate(self._told):
-            if other == number:
-                continue
-            for name, load in told.items():
-                known = sums.get(name)
-                sums[name] = (
-                    load
-                    if known is None
-                    else WorkerLoad(name, known.requests + load.requests, known.items + load.items)
-                )
-        dispatcher.pool.take_loads(sums)
+        now, name = self.time.now / MICROSECONDS, str(number)
+        session = Session(name=name, machine_class="edge", loads=pack(dispatcher.pool.loads()))
+        self._sessions.renew(now, session)
+        dispatcher.pool.take_loads({load.worker: load for load in self._sessions.loads(now, name)})
 
     def _lease(self, dispatcher: ModelDispatcher) -> None:
         want = dispatcher.admission.items_to_lease(SERVICE) - dispatcher.held
