A test closes what waited through the loop; forced where it got stuck

Its number went to the node's end of the next connection where the probes' ends had not taken it first, and epoll's modify of a descriptor that it does not hold ended that session: stuck for 20 s. No program closes so: every close of a connection goes through Loop.close. Change: the order is forced (the probes' ends taken first, a lower number freed for the client), with which the test as it stood gets stuck each time; it now closes through the loop.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -352,6 +352,8 @@
 class LoopErrors(Endings):
     def test_a_wait_that_cannot_be_armed_ends_its_coroutine_alone(self) -> None:
         closed: list[str] = []
+        self.ends += [self.accept(*self.servers) for _ in range(2)]  # probes' ends, or they take the numbers
+        lower = os.dup(0)  # its number goes to the client, so that the node's end gets one that `wait` had
 
         def wait() -> Coroutine[None]:
             ours, theirs = socket.socketpair()
@@ -363,12 +365,13 @@
                 yield number, READ, None
             finally:
                 closed.append("ended")
-                ours.close()
+                self.loop.close(ours)  # what waited is closed through the loop, or its number stays "known"
                 theirs.close()
 
         self.loop.spawn(wait(), "a wait for a descriptor that is closed")
         self.rest(0.02)
         self.assertEqual(closed, ["ended"])
+        os.close(lower)
         self.ask()
         self.dispatched()
 
