A relay that does not begin its answer within 0.4 s is left for the next

A follower gave each relay 1.2 s, also one whose connection opens and that then says nothing: two silent relays in turn kept news back for 2.6 s, where 2.0 is the bound, if gossip did not tell of it sooner. Change: a relay answers at once, so the first word has 0.4 s (RELAY_ANSWER); between words 1.2 s as before. The order is forced by a test with three scripted relays.

--- a/heronstall/net/server_table.py
+++ b/heronstall/net/server_table.py
@@ -30,6 +30,9 @@
 # to ask again costs nothing, and what was missed comes first.
 SILENCE = HEARTBEAT + 600_000
 RELAY_SILENCE = 1_200_000  # of a peer that tells the list; it beats thrice in that time
+# Until a peer that is asked begins its answer, which it does at once. Guards against a second silent relay
+# after the first: each would cost a follower more than a second of news.
+RELAY_ANSWER = 400_000
 AGAIN = 100_000  # before the next peer is asked
 LATE = 30_000_000  # that a call which has had no answer is left open beside those that are made after it
 CONNECT_TIME = 1_000_000
@@ -354,14 +357,16 @@
 
     def _listen(self, watch: _Watch, connection: Connection, relay: Address | None) -> Coroutine[None]:
         silence = SILENCE if relay is None else RELAY_SILENCE
+        patience = SILENCE if relay is None else RELAY_ANSWER
         stream = JsonStream(TABLE_LINE)
         while True:
             try:
-                event = yield from connection.event(self._loop.now + silence)
+                event = yield from connection.event(self._loop.now + patience)
             except Ended as ended:
                 if stream.inside and ended.ending is Ending.TIMED_OUT:
                     raise Ended(Ending.MALFORMED, "the list was cut") from None
                 raise
+            patience = silence
             if isinstance(event, h11.Response):
                 if event.status_code != 200:
                     watch.retry_after = _retry_after(event)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -26,7 +26,7 @@
 from heronstall import interface as i
 from heronstall.__main__ import FIRST_LIST
 from heronstall.__main__ import Program as Dispatching
-from heronstall.config import ConfigError, configuration
+from heronstall.config import Address, ConfigError, configuration
 from heronstall.decide import Balancer
 from heronstall.net import server_table
 from heronstall.net.backend import SETTLE_TIME, Pool, read_report
@@ -114,6 +114,31 @@
         self.sock.sendall(b"".join(b"%x\r\n%s\n\r\n" % (len(x) + 1, x.encode()) for x in lines))
 
 
+class RelaysInTurn:
+    """Names relays one after the other, and takes their messages as they come; a `server_table.Sources`."""
+
+    host = "127.0.0.1"
+
+    def __init__(self, relays: list[socket.socket]) -> None:
+        self._left: list[Address] = [relay.getsockname() for relay in relays]
+
+    def next(self) -> Coroutine[Address | None]:
+        """The next one, without waiting."""
+        yield from ()
+        return self._left.pop(0)
+
+    def askers(self) -> int:
+        """Of the list service."""
+        return 1
+
+    def ended(self, relay: Address) -> None:
+        """A relay has been left."""
+
+    def news(self, message: Any, rev: int, relay: Address | None) -> list[Any]:
+        """All that is told counts."""
+        return [] if message is None else [message]
+
+
 STREAM = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
@@ -741,6 +766,28 @@
         later.say(json.dumps(self.table(0, rev=10)))
         self.spin(lambda: table.rev == 10)
 
+    def test_two_silent_relays_in_turn_keep_news_back_for_less_than_two_seconds(
+        self,
+    ) -> None:
+        relays = [listener() for _ in range(3)]
+        table = self.front._dispatcher.table
+        assert isinstance(table, server_table.ServerTable)
+        table.sources = RelaysInTurn(relays)
+        table.again()
+        speaks, silent, tells = relays
+        first = self.accept(speaks)
+        first.sock.sendall(STREAM)
+        first.say(json.dumps(self.table(0, 1, rev=4)))
+        self.spin(lambda: table.rev == 4)
+        since = time.monotonic()
+        held = self.accept(silent)  # its connection opens, and nothing more comes
+        last = self.accept(tells)
+        last.sock.sendall(STREAM)
+        last.say(json.dumps(self.table(1, 2, rev=5)))
+        self.spin(lambda: table.rev == 5)
+        self.assertLess(time.monotonic() - since, 2.0)
+        self.spin(partial(self.gone, held))
+
     def test_an_overbooked_discovery_is_asked_again_the_later_the_more_ask_it_and_never_in_step(self) -> None:
         def pauses(nodes: int, seed: str, header: bytes = b"") -> list[int]:
             asked: list[int] = []
