--- a/heronstall/controlplane/__main__.py
+++ b/heronstall/controlplane/__main__.py
@@ -12,7 +12,7 @@
 import click
 
 from heronstall.config import NodeSettings
-from heronstall.tier_process import ending, settings_option, settings_or_exit
+from heronstall.tier_process import ending, settings_option, settings_or_exit, tell_started
 
 LAST_MOMENT = 1.0  # seconds of the grace time that are kept for handing the leaderships over
 
@@ -26,6 +26,7 @@
     await core.start()
     api = HttpServer(ControlApi(core).handle, lambda: CONFIG_BYTES)
     await api.listen(settings.listen["control"])
+    tell_started("control")
     await ended.wait()
     await api.finish(time.monotonic() + settings.bounds.grace - LAST_MOMENT)
     await core.stop()
@@ -36,6 +37,7 @@
 
     store = Store(settings)
     await store.start()
+    tell_started("storage")
     await ended.wait()
     await store.stop()
 
--- a/heronstall/dataplane/__main__.py
+++ b/heronstall/dataplane/__main__.py
@@ -11,7 +11,7 @@
 import click
 
 from heronstall.config import NodeSettings
-from heronstall.tier_process import ending, settings_option, settings_or_exit
+from heronstall.tier_process import ending, settings_option, settings_or_exit, tell_started
 
 
 async def _run(settings: NodeSettings) -> None:
@@ -20,6 +20,7 @@
     ended = ending()
     node = EdgeNode(settings)
     await node.start()
+    tell_started("dispatcher")
     await ended.wait()
     await node.stop()
 
--- a/heronstall/early_signals.py
+++ b/heronstall/early_signals.py
@@ -9,8 +9,11 @@
 
 import os
 import signal
+import time
 from types import FrameType
 
+BEGAN = time.monotonic()  # steady time at which this process began to load
+
 
 def _end(number: int, frame: FrameType | None) -> None:
     os._exit(0)
--- a/tests/tier/test_processes.py
+++ b/tests/tier/test_processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import tempfile
 import unittest
 from pathlib import Path
@@ -52,6 +53,14 @@
         self.assertEqual([len(shard.replicas) for shard in seen.batch], [3, 3])
         self.assertEqual([(s.service, s.ready, s.routes) for s in seen.services], [(SERVICE, 1, 2)])
 
+    async def test_each_process_tells_how_long_its_start_took(self) -> None:
+        plan = self.tier.plan
+        for role, ips in (("dispatcher", plan.edges), ("control", plan.cores), ("storage", plan.stores)):
+            for ip in ips:
+                told = re.search(rf"event=started .*role={role} seconds=([0-9.]+)", plan.log(ip).read_text())
+                assert told is not None, ip
+                self.assertLess(float(told[1]), 20.0)
+
     async def test_racing_and_repeated_changes(self) -> None:
         self.assertEqual(await self.tier.client.configure(configuration(2), 0), 200)  # taken before
         self.assertEqual(await self.tier.client.configure(configuration(5), 2), 200)
