An election does not wait where every voter says that it cannot lead

Cause: after a loss of all power a replica waited 0.45 to 0.8 s before it asked for votes, as another could hold a lease. Where every voter of the group has said that it leads nothing in the present term, and so can lead only in a later one, none can. Change: the answer to a pre-vote carries that word (leaderless); with all of them a candidate asks for votes at once, and voters do not wait out a lease. A replica that has just started asks within 0.12 s, by turns. A link that failed and has something to say again is opened anew by itself.

--- a/heronstall/replication/protocol.py
+++ b/heronstall/replication/protocol.py
@@ -43,6 +43,7 @@
     heartbeat: float = 0.12
     election_least: float = 0.45
     election_most: float = 0.8
+    restart_round: float = 0.12  # between the pre-votes of a replica that has just started again
     lease: float = 0.36
     resend_snapshot: float = 2.0
     join: float = 0.7
--- a/heronstall/replication/replica.py
+++ b/heronstall/replication/replica.py
@@ -88,6 +88,7 @@
         self.tells_commit = True  # followers serve reads and want to know at once what is committed
         self._timing, self._random = timing, rng
         self._votes: set[str] = set()
+        self._leaderless: set[str] = set()  # voters that can no longer lead in the present term
         self._durable = self.log.last  # last entry known to be on this disk
         self._confirmed_at = NEVER  # own time before which nothing was acknowledged that is not applied here
         self._confirming = NEVER  # the same, once what is committed has been applied
@@ -99,9 +100,11 @@
         self._contacts: tuple[str, ...] = ()  # members that take this replica for a former one
         # one that holds a log waits for its leader first; an empty one has none
         self._join_at = now + 2 * timing.election_most if self.log.last else now
+        self._restarted_until = now + timing.election_least
         self._elect_at = 0.0
         self._out = Output()
         self._put_off(now)
+        self._put_forward(now)
 
     # ------------------------------------------------------------------ what the driver calls
 
@@ -129,14 +132,8 @@
             self._on_pre_vote(now, m)
         elif m.kind == MessageKind.JOIN:
             self._on_join(now, m)
-        elif m.kind == MessageKind.PRE_VOTE_REPLY and not m.granted:
-            if m.term > self.term:
-                self._become_follower(now, m.term, "")
         elif m.kind == MessageKind.PRE_VOTE_REPLY:
-            if self.role is Role.PRE_CANDIDATE and m.term == self.term + 1:
-                self._votes.add(m.sender)
-                if self._won():
-                    self._campaign(now, False)
+            self._on_pre_vote_reply(now, m)
         elif m.kind == MessageKind.VOTE:
             self._on_vote(now, m)
         elif m.term < self.term:
@@ -278,10 +275,20 @@
         record = DiskRecord(group=self.group, kind=RecordKind.VOTE, term=self.term, vote=self.vote)
         self._out.records.append(record)
 
+    def _put_forward(self, now: float) -> None:
+        """Ask for votes soon after a start. Voters take turns, so that two seldom ask at one moment."""
+        members = sorted(self.log.members)
+        if self.me in members:
+            turn = (members.index(self.me) + 1) / len(members)
+            self._elect_at = now + turn * self._timing.restart_round
+
     def _pre_campaign(self, now: float) -> None:
         self.role, self.leader = Role.PRE_CANDIDATE, ""
         self._votes = {self.me}
+        self._leaderless = set()
         self._put_off(now)
+        if now < self._restarted_until:
+            self._elect_at = now + self._timing.restart_round
         if self._won():
             self._campaign(now, False)
             return
@@ -320,13 +327,47 @@
     def _on_pre_vote(self, now: float, m: GroupMessage) -> None:
         quiet = self.role is not Role.LEADER and now - self._heard_at >= self._timing.election_least
         granted = quiet and m.term > self.term and self._current_enough(m)
-        if granted or m.term <= self.term:
+        leaderless = self._cannot_lead_before(m.term) and self._current_enough(m)
+        if leaderless and now < self._restarted_until:
+            self._elect_at = max(self._elect_at, now + self._timing.restart_round)
+        if granted or leaderless or m.term <= self.term:
             self._send(
-                m.sender, MessageKind.PRE_VOTE_REPLY, granted=granted, term=m.term if granted else self.term
+                m.sender,
+                MessageKind.PRE_VOTE_REPLY,
+                granted=granted,
+                leaderless=leaderless,
+                term=m.term if granted else self.term,
             )
 
+    def _cannot_lead_before(self, term: int) -> bool:
+        """Whether this replica will lead in no term before one, which follows its own.
+
+        Its own term is on its disk before the answer goes out, and whoever is no candidate in it must begin
+        a later one to lead.
+        """
+        return term == self.term + 1 and self.role in (Role.FOLLOWER, Role.PRE_CANDIDATE)
+
+    def _nobody_leads(self) -> bool:
+        """Whether every voter has said that it cannot lead before the next term: then no lease is held."""
+        return self._leaderless.issuperset(self._other_voters())
+
+    def _on_pre_vote_reply(self, now: float, m: GroupMessage) -> None:
+        if not m.granted and m.term > self.term:
+            self._become_follower(now, m.term, "")
+        asked = m.term == self.term + m.granted
+        if self.role is not Role.PRE_CANDIDATE or not asked:
+            return
+        if m.granted:
+            self._votes.add(m.sender)
+        if m.leaderless:
+            self._leaderless.add(m.sender)
+        if self._nobody_leads():
+            self._campaign(now, True)
+        elif self._won():
+            self._campaign(now, False)
+
     def _on_vote(self, now: float, m: GroupMessage) -> None:
-        ordered = m.granted  # the old leader wants it so
+        ordered = m.granted  # the old leader wants it so, or there is none: no lease is held
         if not ordered and (self.role is Role.LEADER or now - self._heard_at < self._timing.election_least):
             return  # a leader may hold a lease
         if m.term > self.term:
@@ -594,6 +635,7 @@
         entries: list[LogEntry] | None = None,
         commit: int = 0,
         granted: bool = False,
+        leaderless: bool = False,
         round: int = 0,
         asked: int = 0,
         confirms: int = 0,
@@ -611,6 +653,7 @@
             entries=entries or [],
             commit=commit,
             granted=granted,
+            leaderless=leaderless,
             round=round,
             asked=asked,
             confirms=confirms,
--- a/heronstall/transport/links.py
+++ b/heronstall/transport/links.py
@@ -179,6 +179,8 @@
             await asyncio.sleep(RETRY_AFTER)
         finally:
             self._connecting = None
+        if self._protocol is None and self._held:  # said meanwhile, and nothing more may be
+            self._connecting = asyncio.get_running_loop().create_task(self._open())
 
     def _on_lost(self) -> None:
         self._protocol = None
--- a/heronstall/transport/messages.py
+++ b/heronstall/transport/messages.py
@@ -45,6 +45,7 @@
     snapshot: "Snapshot" = betterproto.message_field(12)
     asked: int = betterproto.uint64_field(13)
     confirms: int = betterproto.uint64_field(14)
+    leaderless: bool = betterproto.bool_field(15)
 
 
 @dataclass
--- a/tests/tier/test_core_simulation.py
+++ b/tests/tier/test_core_simulation.py
@@ -85,6 +85,7 @@
         "heartbeat": 0.12,
         "election_least": 0.45,
         "election_most": 0.8,
+        "restart_round": 0.12,
         "lease": 0.36,
         "resend_snapshot": 2.0,
         "join": 0.7,
