--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -1,6 +1,6 @@
 """Switches the tier's mechanisms off one by one and plays days beside the same days with everything on.
 
-    python -m benchmarks.ablation play --bench BENCH --folder FOLDER [--only NAME] [--at-once N] SITE:DAY:SEED ...
+    python -m benchmarks.ablation play --bench BENCH --folder FOLDER [--only NAME] SITE:DAY:SEED ...
     python -m benchmarks.ablation table
 
 `play` makes a worktree of the present revision for each mechanism of `ablations.toml` below FOLDER, applies
@@ -12,7 +12,6 @@
 from __future__ import annotations
 
 import argparse
-import shutil
 import subprocess
 import sys
 import tomllib
@@ -25,7 +24,7 @@
 
 import numpy as np
 
-from benchmarks.paired_days import JOURNAL, interval, journal
+from benchmarks.paired_days import interval, journal, take_entries
 
 MECHANISMS = Path(__file__).with_name("ablations.toml")
 REASON = "ablation of"
@@ -113,7 +112,7 @@
         call = [str(bench), "run", str(Path(site).resolve()), day, "--seed", seed, "--jobs", "1"]
         reason = ["--why", f"{REASON} {name}: {day} seed {seed}"]
         subprocess.run(call + reason, cwd=trees[name], check=False, stdout=subprocess.DEVNULL)
-        shutil.copytree(trees[name] / "journal", JOURNAL, dirs_exist_ok=True)
+        take_entries(trees[name])
 
     for tree in trees.values():
         subprocess.run([str(bench), "build"], cwd=tree, check=True, stdout=subprocess.DEVNULL)
--- a/benchmarks/paired_days.py
+++ b/benchmarks/paired_days.py
@@ -146,7 +146,14 @@
             reason = f"{why}: {day} seed {seed} on {revision}"[:119]
             call = [str(bench), "run", str(Path(site).resolve()), day, "--seed", seed, "--why", reason]
             subprocess.run(call, cwd=tree, check=False)
-            shutil.copytree(tree / "journal", JOURNAL, dirs_exist_ok=True)
+            take_entries(tree)
+
+
+def take_entries(tree: Path) -> None:
+    """Copy the entries that the bench wrote in a worktree to this journal."""
+    for entry in (tree / "journal").iterdir():
+        if not (JOURNAL / entry.name).exists():
+            shutil.copy2(entry, JOURNAL / entry.name)
 
 
 def worktree(folder: Path, revision: str) -> Path:
