--- a/heronstall/dataplane/attempts.py
+++ b/heronstall/dataplane/attempts.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import time
 from dataclasses import dataclass, field
 from typing import NamedTuple
@@ -17,50 +16,6 @@
 READING_MOST = 2.0  # seconds of silence that a prompt excuses at the most, whatever its length
 
 
-SLOW = 0.25  # seconds beyond its prompt's reading from which a first event counts as slow
-SLOW_SHARE = 0.34  # part of the latest requests that are slow, from which load explains silence
-COUNTED_LEAST = 3.0  # latest requests from which that share is known
-FORGET = 1.0  # seconds after which a request counts for 1/e
-
-
-class SilenceLimit:
-    """How long a worker may give no sign of life before it is suspected. Free of I/O.
-
-    Where first events are slow all over, silence is no sign of a dark worker: its place is a queue. To send
-    its requests elsewhere would have their prompts read twice, by workers that are as loaded.
-    """
-
-    def __init__(self) -> None:
-        self._slow = self._counted = 0.0
-        self._at = 0.0
-        self._waiting = 0
-
-    def first_event(self, seconds: float, now: float) -> None:
-        """A first event has come so long after its prompt could have been read."""
-        self._count(float(seconds > SLOW), 1.0, now)
-
-    def gave_up(self, attempts: int, now: float) -> None:
-        """So many attempts were ended without a sign of life."""
-        self._count(attempts, attempts, now)
-
-    def waiting(self, attempts: int) -> None:
-        """So many attempts are slow already, and under way."""
-        self._waiting = attempts
-
-    def seconds(self, now: float) -> float:
-        """The limit at a moment."""
-        kept = math.exp((self._at - now) / FORGET)
-        counted = self._counted * kept + self._waiting
-        loaded = self._slow * kept + self._waiting > SLOW_SHARE * counted
-        return REQUEST_SILENT if loaded and counted >= COUNTED_LEAST else WORKER_SILENT
-
-    def _count(self, slow: float, counted: float, now: float) -> None:
-        kept = math.exp((self._at - now) / FORGET)
-        self._slow = self._slow * kept + slow
-        self._counted = self._counted * kept + counted
-        self._at = now
-
-
 class LoadView(NamedTuple):
     """A worker's load as its dispatcher knew it when it sent an attempt there."""
 
@@ -96,7 +51,6 @@
 class Attempts:
     """The attempts at one worker."""
 
-    silence: SilenceLimit = field(default_factory=SilenceLimit)  # shared by all workers
     under_way: set[Attempt] = field(default_factory=set)
     heard_at: float = 0.0  # latest byte of the worker on any connection
 
@@ -126,22 +80,16 @@
 
     def suspected(self, now: float) -> bool:
         """Whether the worker seems dark: an attempt waits, and nothing has come since it was sent."""
-        most = self.silence.seconds(now)
         return any(
-            now - a.sent_at > most + a.reading and a.heard_at == a.sent_at and self.heard_at <= a.sent_at
-            for a in self.under_way
-        )
-
-    def slow(self, now: float) -> int:
-        """Requests under way whose first event is late already; items may wait in a worker's queue."""
-        return sum(
-            a.heard_at == a.sent_at and a.patience != ITEM_SILENT and now - a.sent_at > SLOW + a.reading
+            now - a.sent_at > WORKER_SILENT + a.reading
+            and a.heard_at == a.sent_at
+            and self.heard_at <= a.sent_at
             for a in self.under_way
         )
 
     def end_silent(self, now: float) -> int:
         """End the attempts that may be repeated and get nothing; how many."""
-        most = self.silence.seconds(now) if self.suspected(now) else ITEM_SILENT
+        most = WORKER_SILENT if self.suspected(now) else ITEM_SILENT
         silent = [
             a
             for a in self.under_way
--- a/heronstall/dataplane/forwarding.py
+++ b/heronstall/dataplane/forwarding.py
@@ -352,7 +352,6 @@
         if first:
             seconds = worker.attempts.first_heard(passage.attempt)
             self._admission.first_event(worker, passage.prefix.tokens, seconds)
-            self._pool.silence.first_event(seconds - passage.attempt.reading, time.monotonic())
             if self._placer is not None and passage.placed is not None and not passage.tried:
                 self._placer.first_event(passage.service, passage.placed, seconds)
         else:
--- a/heronstall/dataplane/workers.py
+++ b/heronstall/dataplane/workers.py
@@ -10,7 +10,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from heronstall.dataplane.attempts import Attempt, Attempts, LoadView, SilenceLimit
+from heronstall.dataplane.attempts import Attempt, Attempts, LoadView
 from heronstall.dataplane.connections import FreshestFirst, RestLimit
 from heronstall.dataplane.pace import Pace
 from heronstall.dataplane.subset import Seat, Share, ring, shares
@@ -157,7 +157,6 @@
         self.by_id: dict[str, WorkerState] = {}
         self._by_service: dict[str, list[WorkerState]] = {}
         self._rings: dict[str, list[str]] = {}
-        self.silence = SilenceLimit()
         self._seat = Seat()
         self._shares: dict[str, dict[str, Share]] = {}
         self.changed = asyncio.Event()
@@ -172,7 +171,7 @@
         for name, entry in entries.items():
             known = self.by_id.get(name)
             if known is None:
-                self.by_id[name] = WorkerState(entry, attempts=Attempts(self.silence))
+                self.by_id[name] = WorkerState(entry)
             else:
                 known.entry = entry
         self._by_service = {}
@@ -213,11 +212,9 @@
         while True:
             await asyncio.sleep(WATCH)
             now = time.monotonic()
-            busy = [worker.attempts for worker in self.by_id.values() if worker.attempts.under_way]
-            self.silence.waiting(sum(attempts.slow(now) for attempts in busy))
-            ended = sum(attempts.end_silent(now) for attempts in busy)
-            if ended:
-                self.silence.gave_up(ended, now)
+            for worker in self.by_id.values():
+                if worker.attempts.under_way:
+                    worker.attempts.end_silent(now)
 
     def take_loads(self, loads: dict[str, WorkerLoad]) -> None:
         """Take what the other dispatchers have at the workers."""
