--- a/tests/tier/test_dataplane.py
+++ b/tests/tier/test_dataplane.py
@@ -273,7 +273,6 @@
     def setUp(self) -> None:
         self.pool = WorkerPool.__new__(WorkerPool)
         self.pool.by_id, self.pool._by_service, self.pool._rings = {}, {}, {}
-        self.pool.silence = silence.SilenceLimit()
         self.pool._seat, self.pool._shares = Seat(), {}
         self.pool.changed = mock.Mock()
         with mock.patch("asyncio.Event", mock.Mock):
