A request waits half a second for the first configuration of a process

Change: before its first configuration a process holds a request up to 0.5 s, half of its deadline at the most, then refuses as before. One that has known a configuration holds nothing.

--- a/heronstall/dataplane/ingress.py
+++ b/heronstall/dataplane/ingress.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import time
 from collections.abc import Callable
@@ -24,6 +25,7 @@
 ITEMS = "/-/items/"
 BODY_WITHIN = 10.0  # seconds for a request's body
 DUE_SHARE = 0.2  # part of its aim after which a deferrable request is due; held longer it is priced
+START_HOLD = 0.5  # seconds that a request waits for the first configuration after a process's start
 PATIENCE = 60.0  # seconds, where a client names no deadline
 
 
@@ -48,12 +50,26 @@
         knowledge_age: Callable[[], float],
         limits: KnowledgeLimits,
     ) -> None:
-        self.routes = Routes()
+        self._routes = Routes()
+        self._configured = asyncio.Event()
         self._in_hand: set[InHand] = set()
         self._forwarder, self._batch, self._random = forwarder, batch, rng
         self._deferred = deferred
         self._knowledge_age, self._limits = knowledge_age, limits
 
+    @property
+    def routes(self) -> Routes:
+        """The configuration in force, as far as known here."""
+        return self._routes
+
+    @routes.setter
+    def routes(self, routes: Routes) -> None:
+        self._routes = routes
+        if routes.revision:
+            self._configured.set()
+        else:
+            self._configured.clear()
+
     @property
     def may_serve(self) -> bool:
         """Whether a configuration is known, and none that is much newer can be in force."""
@@ -101,6 +117,8 @@
 
     async def _answer(self, request: web.BaseRequest, in_hand: InHand) -> web.StreamResponse:
         arrived = time.monotonic()
+        if not self._configured.is_set():
+            await self._wait_for_configuration(request)
         if not self.may_serve:
             return refusal(STARTING)
         try:
@@ -135,6 +153,15 @@
         in_hand.begun, in_hand.passage = True, passage
         return await self._forwarder.carry(passage)
 
+    async def _wait_for_configuration(self, request: web.BaseRequest) -> None:
+        """Wait a moment in a process that has just started.
+
+        After a loss of power clients come before it is told anything, and a refused one comes back late.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(min(START_HOLD, _deadline(request) / 2)):
+                await self._configured.wait()
+
     async def _batch_call(self, request: web.BaseRequest, host: str, path: str) -> web.StreamResponse:
         if path.startswith(LOTS) and request.method == "GET":
             return await self._batch.read(request, host, path.removeprefix(LOTS))
--- a/tests/tier/test_known_configuration.py
+++ b/tests/tier/test_known_configuration.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
+import time
 import unittest
 from unittest import mock
 
-from heronstall.dataplane.ingress import Ingress
+from heronstall.dataplane.ingress import START_HOLD, Ingress
+from heronstall.dataplane.routing import Routes
 from heronstall.distribution.freshness import KnowledgeLimits
 from tests.tier.test_dataplane import routes
 
@@ -23,9 +26,10 @@
         self.ingress = Ingress(forwarder, mock.Mock(), deferred, random.Random(1), lambda: self.age, LIMITS)
         self.ingress.routes = routes()
 
-    async def status(self, path: str, age: float) -> int:
+    async def status(self, path: str, age: float, more: dict[str, str] | None = None) -> int:
         self.age = age
-        request = mock.Mock(raw_path=path, headers={"Host": "h.example"}, raw_headers=(), method="POST")
+        headers = {"Host": "h.example", **(more or {})}
+        request = mock.Mock(raw_path=path, headers=headers, raw_headers=(), method="POST")
         request.read = mock.AsyncMock(return_value=b"")
         return (await self.ingress.handle(request)).status
 
@@ -41,10 +45,26 @@
         self.assertFalse(self.ingress.may_serve)
 
     async def test_before_the_first_configuration_nothing_is_refused_for_good(self) -> None:
-        self.ingress.routes = type(self.ingress.routes)()
+        self.ingress.routes = Routes()
+        began = time.monotonic()
         self.assertEqual(await self.status("/a/x", 0.0), 503)
+        self.assertLess(time.monotonic() - began, START_HOLD + 0.3)
         self.assertFalse(self.ingress.may_serve)
 
+    async def test_a_request_that_comes_just_before_the_first_configuration_waits_for_it(self) -> None:
+        self.ingress.routes = Routes()
+        answer = asyncio.create_task(self.status("/a/x", 0.0))
+        await asyncio.sleep(0.05)
+        self.assertFalse(answer.done())
+        self.ingress.routes = routes()
+        self.assertEqual(await answer, 200)
+
+    async def test_half_of_a_short_deadline_bounds_that_wait(self) -> None:
+        self.ingress.routes = Routes()
+        began = time.monotonic()
+        self.assertEqual(await self.status("/a/x", 0.0, {"Heronstall-Deadline-Ms": "100"}), 503)
+        self.assertLess(time.monotonic() - began, START_HOLD / 2)
+
 
 if __name__ == "__main__":
     unittest.main()
