--- a/benchmarks/paired_days.py
+++ b/benchmarks/paired_days.py
@@ -132,9 +132,11 @@
 
 
 def journal() -> Iterator[dict[str, Any]]:
-    """The journal's entries, in order of time."""
+    """The journal's entries, in order of time; one that was never finished is passed over."""
     for path in sorted(JOURNAL.glob("2*.json")):
-        yield json.loads(path.read_text())
+        text = path.read_text()
+        if text:
+            yield json.loads(text)
 
 
 def play(bench: Path, revisions: Sequence[str], folder: Path, days: Sequence[str], why: str) -> None:
@@ -152,8 +154,11 @@
 def take_entries(tree: Path) -> None:
     """Copy the entries that the bench wrote in a worktree to this journal."""
     for entry in (tree / "journal").iterdir():
-        if not (JOURNAL / entry.name).exists():
-            shutil.copy2(entry, JOURNAL / entry.name)
+        target = JOURNAL / entry.name
+        if not target.exists():
+            whole = target.with_suffix(".copying")  # nobody reads half an entry
+            shutil.copy2(entry, whole)
+            whole.rename(target)
 
 
 def worktree(folder: Path, revision: str) -> Path:
