--- a/benchmarks/paired_days.py
+++ b/benchmarks/paired_days.py
@@ -24,6 +24,7 @@
 import numpy as np
 
 JOURNAL = Path("journal")
+UNFINISHED = "the run did not finish"  # what an entry says until its run has ended
 RESAMPLES = 10_000
 LEVEL = 0.95
 
@@ -153,9 +154,11 @@
 
 def take_entries(tree: Path) -> None:
     """Copy the entries that the bench wrote in a worktree to this journal."""
-    for entry in (tree / "journal").iterdir():
+    for entry in (tree / "journal").glob("*.*"):
         target = JOURNAL / entry.name
-        if not target.exists():
+        text = entry.read_text(encoding="utf-8", errors="replace")
+        unfinished = not text or (entry.suffix == ".json" and UNFINISHED in text)
+        if not unfinished and not target.exists():
             whole = target.with_suffix(".copying")  # nobody reads half an entry
             shutil.copy2(entry, whole)
             whole.rename(target)
--- a/benchmarks/tier_table.py
+++ b/benchmarks/tier_table.py
@@ -36,7 +36,10 @@
     """Rows of all whole scores and hunts of the tier, in order of time."""
     found = []
     for path in sorted(JOURNAL.glob("*.json")):
-        entry = json.loads(path.read_text())
+        text = path.read_text()
+        if not text:  # never finished
+            continue
+        entry = json.loads(text)
         of_the_tier = (
             entry.get("cmd") in ("score", "hunt") and entry.get("days") and "rules" in entry["days"][0]
         )
