--- a/heronstall/dataplane/__main__.py
+++ b/heronstall/dataplane/__main__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import heronstall.early_signals  # noqa: F401  (before what takes time)
+import heronstall.early_signals  # before what takes time
 import heronstall.without_tls  # noqa: F401  (before what would import ssl)
 
 # isort: split
@@ -20,7 +20,7 @@
     ended = ending()
     node = EdgeNode(settings)
     await node.start()
-    tell_started("dispatcher")
+    tell_started("dispatcher", heronstall.early_signals.BEGAN)
     await ended.wait()
     await node.stop()
 
--- a/heronstall/dataplane/draw.py
+++ b/heronstall/dataplane/draw.py
@@ -11,7 +11,6 @@
 from heronstall.dataplane.workers import WITNESSES, WorkerPool, WorkerState
 from heronstall.placement.reading import affinity
 
-LARGE_PREFIX = 1500  # shared tokens from which reading them again costs more than an uneven load
 # Power of the inverse of one plus own work at a worker: own work is known at once, the others' is not.
 OWN_POWER = 3
 # Times the weight of all workers together, for the worker that such shared parts belong to, and the next one.
@@ -60,7 +59,7 @@
             (1.0 / (1 + w.inflight)) ** OWN_POWER * self._room(w) * self._trust(w) * w.pace.weight(now)
             for w in good
         ]
-        if prefix.tokens >= LARGE_PREFIX:
+        if prefix.is_large:
             ranked = nlargest(len(HOMES), range(len(good)), lambda k: affinity(prefix.part, good[k].entry.id))
             for home, preference in zip(ranked, HOMES, strict=False):
                 weights[home] *= preference * len(good) * self._room(good[home])
@@ -92,7 +91,7 @@
 
     def home_rank(self, worker: WorkerState, prefix: SharedPrefix) -> int | None:
         """A worker's place, from 0, among those that a prompt's shared part belongs to; None: to nobody."""
-        if prefix.tokens < LARGE_PREFIX:
+        if not prefix.is_large:
             return None
         mine = affinity(prefix.part, worker.entry.id)
         ready = (w for w in self._pool.of(worker.entry.service) if w.ready)
--- a/heronstall/dataplane/forwarding.py
+++ b/heronstall/dataplane/forwarding.py
@@ -197,7 +197,7 @@
 
     async def _pick(self, passage: Passage) -> WorkerState | None:
         """A worker; one that was not tried yet waits a moment where there is none."""
-        if self._placer is not None and not passage.tried and self._placer.is_large(passage.prefix):
+        if self._placer is not None and not passage.tried and passage.prefix.is_large:
             placed = await self._place(self._placer, passage)
             if placed is not None:
                 return placed
--- a/heronstall/dataplane/item_places.py
+++ b/heronstall/dataplane/item_places.py
@@ -10,7 +10,6 @@
 import math
 from collections.abc import Callable, Iterator
 
-from heronstall.dataplane.subset import Share
 from heronstall.dataplane.workers import WorkerPool, WorkerState
 
 # Square roots of a worker's places that items leave free for live requests to come: these vary by such roots.
@@ -50,8 +49,7 @@
         """Whether a worker has room for a batch item of this dispatcher."""
         if worker.total >= self._full(worker):
             return False
-        share = self._pool.shares(worker.entry.service).get(worker.entry.id)
-        places = self._at(worker, share) if share is not None else 0
+        places = self._places(worker)
         return worker.items < places if places else self._takes_outside(worker)
 
     def _takes_outside(self, worker: WorkerState) -> bool:
@@ -76,12 +74,9 @@
 
     def most(self, service: str) -> int:
         """Batch items that this dispatcher may run for a service at a time."""
-        shares = self._pool.shares(service)
         places, idle = 0, False
         for worker in self._reached(service):
-            share = shares.get(worker.entry.id)
-            if share is not None:
-                places += self._at(worker, share)
+            places += self._places(worker)
             idle = idle or self._is_idle(worker)
         started = FIRST_PLACES + PLACES_PER_SECOND * (self._clock() - self.began)
         return min(int(started), max(places, int(idle)))
@@ -94,8 +89,11 @@
         now = self._clock()
         return (w for w in self._pool.of(service) if w.ready and w.avoid_until <= now)
 
-    def _at(self, worker: WorkerState, share: Share) -> int:
+    def _places(self, worker: WorkerState) -> int:
         """This dispatcher's places at a worker: whole ones, of which each is one dispatcher's."""
+        share = self._pool.shares(worker.entry.service).get(worker.entry.id)
+        if share is None:
+            return 0
         left = self._full(worker) - worker.live
         return share.of(max(1.0, ITEMS_LEAST * worker.capacity, left))
 
--- a/heronstall/dataplane/misses.py
+++ b/heronstall/dataplane/misses.py
@@ -159,36 +159,38 @@
 
     def ended(self, ended: EndedRequest) -> None:
         """A request has ended, in whatever way."""
-        tally = self._tallies.setdefault(ended.route.name, RouteTally())
-        tally.requests += 1
+        tally = self._counted(ended.route.name, ended.attempts)
         tally.size += ended.size
         tally.planned += ended.planned
-        for attempt in ended.attempts:
-            tally.connections += attempt.new_connection
         if ended.attempts and ended.attempts[0].home is not None:
             _count_home(tally, ended.attempts[0].home)
         now = time.monotonic()
         reason = miss_reason(ended, now)
         if reason is None:
             return
-        tally.missed += 1
         tally.missed_size += ended.size
-        self._logged += 1
-        if self._logged <= EVENTS_MOST:
+        if self._missed(tally):
             _tell(ended, reason, now)
 
     def item_ended(self, ended: EndedItem) -> None:
         """A batch item's run has ended, in whatever way."""
-        tally = self._tallies.setdefault(ended.route, RouteTally())
+        tally = self._counted(ended.route, ended.attempts)
+        missed = ended.late or ended.outcome is Outcome.FAILED
+        if missed and self._missed(tally):
+            _tell_item(ended)
+
+    def _counted(self, route: str, attempts: Sequence[Attempt]) -> RouteTally:
+        """The tally of a route, with one more request or item."""
+        tally = self._tallies.setdefault(route, RouteTally())
         tally.requests += 1
-        for attempt in ended.attempts:
-            tally.connections += attempt.new_connection
-        if not ended.late and ended.outcome is not Outcome.FAILED:
-            return
+        tally.connections += sum(attempt.new_connection for attempt in attempts)
+        return tally
+
+    def _missed(self, tally: RouteTally) -> bool:
+        """Count a miss; whether it is to be logged."""
         tally.missed += 1
         self._logged += 1
-        if self._logged <= EVENTS_MOST:
-            _tell_item(ended)
+        return self._logged <= EVENTS_MOST
 
     def job_answered(self, job: str, route: Route, status: int, seconds: float) -> None:
         """A submission of a batch job has been answered after so many seconds."""
--- a/heronstall/dataplane/placing.py
+++ b/heronstall/dataplane/placing.py
@@ -11,7 +11,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from heronstall.dataplane.draw import LARGE_PREFIX
 from heronstall.dataplane.prefixes import SharedPrefix
 from heronstall.distribution.view import View
 from heronstall.transport.frames import Kind, Status
@@ -40,11 +39,6 @@
         self._failed_at: dict[str, float] = {}
         self._heard: dict[str, tuple[int, float]] = {}  # by service: tokens read, seconds to the first event
 
-    @staticmethod
-    def is_large(prefix: SharedPrefix) -> bool:
-        """Whether it matters where a prompt with such shared parts is read."""
-        return prefix.tokens >= LARGE_PREFIX
-
     async def place(self, service: str, prefix: SharedPrefix, prompt_tokens: int) -> PlacedPrompt | None:
         """Where a prompt is to be read; None where nobody says so at once."""
         node = self._planner(service)
--- a/heronstall/dataplane/prefixes.py
+++ b/heronstall/dataplane/prefixes.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 TOKEN_DIGITS = 9  # of a number of tokens, at the most
+LARGE = 1500  # shared tokens from which reading them again costs more than an uneven load
 
 
 class SharedPrefix(NamedTuple):
@@ -14,6 +15,11 @@
     tokens: int
     largest: int = 0  # tokens of that part
 
+    @property
+    def is_large(self) -> bool:
+        """Whether it matters where a prompt with such shared parts is read."""
+        return self.tokens >= LARGE
+
 
 NOTHING = SharedPrefix("", 0)
 
--- a/heronstall/model/serving/fleet.py
+++ b/heronstall/model/serving/fleet.py
@@ -17,7 +17,6 @@
 import numpy as np
 
 from heronstall.dataplane.admission import Admission
-from heronstall.dataplane.placing import PromptPlacer
 from heronstall.dataplane.prefixes import SharedPrefix, shared_prefix
 from heronstall.dataplane.subset import Seat
 from heronstall.dataplane.workers import WorkerPool, WorkerState
@@ -133,7 +132,7 @@
         """Find a worker for a request."""
         header = ",".join(f"{part.name}:{part.tokens}" for part in request.prompt)
         prefix = shared_prefix(header)
-        if request.job is None and not request.tried and PromptPlacer.is_large(prefix):
+        if request.job is None and not request.tried and prefix.is_large:
             self.send(request, self._fleet.place(self, request, prefix))
             return
         if len(request.tried) < TRIES:
--- a/heronstall/placement/reading.py
+++ b/heronstall/placement/reading.py
@@ -25,8 +25,6 @@
 SPEED_STEP = 0.05  # of the logarithm of the speed, for each answer
 SPEED_QUANTILE = 0.7  # of the answers that are taken to be slower than the engine reads: they waited, too
 CROWDED = 0.05  # seconds that each request beyond a worker's places costs, and all places together in use
-
-
 HOME_HOLDS = 0.5  # chance that a part's home holds it, where the planner has not placed it yet
 
 
--- a/heronstall/tier_process.py
+++ b/heronstall/tier_process.py
@@ -14,7 +14,6 @@
 import click
 
 from heronstall.config import ConfigError, NodeSettings, node_settings
-from heronstall.early_signals import BEGAN
 
 # structlog loads rich for its console, which is not used here, where it finds it: a third of a restart's time
 _rich = sys.modules.get("rich")
@@ -70,9 +69,9 @@
     sys.exit(2)
 
 
-def tell_started(role: str) -> None:
-    """Log that the process listens, and how many seconds after it began to load."""
-    structlog.get_logger().info("started", role=role, seconds=round(time.monotonic() - BEGAN, 3))
+def tell_started(role: str, began: float) -> None:
+    """Log that the process listens, and how many seconds after it began to load at a steady time."""
+    structlog.get_logger().info("started", role=role, seconds=round(time.monotonic() - began, 3))
 
 
 def ending() -> asyncio.Event:
--- a/tests/tier/cluster.py
+++ b/tests/tier/cluster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from heronstall.replication.log import Image
@@ -17,6 +18,16 @@
     """A promise of the protocol is broken."""
 
 
+def is_found(made: type[Replica], walks: int, walk: Callable[[int, type[Replica]], object]) -> bool:
+    """Whether one of so many drawn walks finds a planted mistake."""
+    for seed in range(walks):
+        try:
+            walk(seed, made)
+        except Violation:
+            return True
+    return False
+
+
 class Machine:
     """A list of commands as the state."""
 
--- a/tests/tier/test_early_elections.py
+++ b/tests/tier/test_early_elections.py
@@ -6,7 +6,7 @@
 
 from heronstall.replication.protocol import MessageKind, Timing, quorum
 from heronstall.replication.replica import Replica, Role
-from tests.tier.cluster import Cluster, Violation
+from tests.tier.cluster import Cluster, Violation, is_found
 from tests.tier.rough_cluster import RoughCluster
 
 SOON = 0.35  # seconds until there is a leader again, of which a normal election would wait 0.45 and more
@@ -168,12 +168,7 @@
 
 class PlantedMistakes(unittest.TestCase):
     def assert_found(self, made: type[Replica]) -> None:
-        for seed in range(FOUND_WITHIN):
-            try:
-                walk(seed, made)
-            except Violation:
-                return
-        self.fail(f"{made.__name__} is not found")
+        self.assertTrue(is_found(made, FOUND_WITHIN, walk), f"{made.__name__} is not found")
 
     def test_a_leader_that_denies_leading_is_found(self) -> None:
         for seed in range(5):
--- a/tests/tier/test_reading_plan.py
+++ b/tests/tier/test_reading_plan.py
@@ -226,8 +226,8 @@
         self.assertEqual(len(self.links.asked[0][1].part), PART_BYTES)
 
     def test_small_prompts_are_not_asked_for(self) -> None:
-        self.assertTrue(self.placer.is_large(self.PREFIX))
-        self.assertFalse(self.placer.is_large(shared_prefix("aa:170,own:543")))
+        self.assertTrue(self.PREFIX.is_large)
+        self.assertFalse(shared_prefix("aa:170,own:543").is_large)
 
     def test_a_count_of_tokens_beyond_reason_shares_nothing(self) -> None:
         self.assertEqual(shared_prefix("aa:" + "9" * 5000 + ",own:1"), NOTHING)
--- a/tests/tier/test_replication.py
+++ b/tests/tier/test_replication.py
@@ -8,7 +8,7 @@
 from heronstall.replication.protocol import APPEND_BYTES, MessageKind
 from heronstall.replication.replica import Replica, Role
 from heronstall.transport.messages import GroupMessage
-from tests.tier.cluster import Cluster, Violation
+from tests.tier.cluster import Cluster, Violation, is_found
 
 WALKS = 250
 STEPS = 400
@@ -92,12 +92,8 @@
             walk(seed, size=5)
 
     def assert_found(self, made: type[Replica], sync_first: bool = True, size: int = 3) -> None:
-        for seed in range(1500):
-            try:
-                walk(seed, made, size, sync_first)
-            except Violation:
-                return
-        self.fail(f"{made.__name__} is not found")
+        found = is_found(made, 1500, lambda seed, planted: walk(seed, planted, size, sync_first))
+        self.assertTrue(found, f"{made.__name__} is not found")
 
     def test_a_forgotten_vote_is_found(self) -> None:
         self.assert_found(VotesTwice)
--- a/tests/tier/test_rough_walks.py
+++ b/tests/tier/test_rough_walks.py
@@ -7,7 +7,7 @@
 
 from heronstall.replication.replica import Replica, Role
 from heronstall.transport.messages import GroupMessage
-from tests.tier.cluster import Violation
+from tests.tier.cluster import Violation, is_found
 from tests.tier.rough_cluster import RoughCluster
 
 WALKS, STEPS = 40, 400
@@ -154,12 +154,7 @@
 
 class PlantedMistakes(unittest.TestCase):
     def assert_found(self, made: type[Replica]) -> None:
-        for seed in range(FOUND_WITHIN):
-            try:
-                walk(seed, made)
-            except Violation:
-                return
-        self.fail(f"{made.__name__} is not found")
+        self.assertTrue(is_found(made, FOUND_WITHIN, walk), f"{made.__name__} is not found")
 
     def test_a_late_snapshot_that_takes_acknowledged_entries_back_is_found(self) -> None:
         first = settled(ForgetsBeyondSnapshots)
