--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -24,7 +24,7 @@
 
 import numpy as np
 
-from benchmarks.paired_days import interval, journal, take_entries
+from benchmarks.paired_days import DayPlay, DayToPlay, interval, journal, plays, worktree
 
 MECHANISMS = Path(__file__).with_name("ablations.toml")
 REASON = "ablation of"
@@ -68,12 +68,7 @@
     """One day that was played without a mechanism."""
 
     mechanism: str
-    revision: str
-    site: str
-    day: str
-    seed: int
-    score: float
-    broken: bool
+    play: DayPlay
 
 
 def mechanisms(path: Path = MECHANISMS) -> list[Mechanism]:
@@ -91,60 +86,54 @@
     return [m for m in known.values() if not names or m.name in names]
 
 
-def worktree(folder: Path, revision: str, mechanism: Mechanism) -> Path:
+def tree_without(folder: Path, revision: str, mechanism: Mechanism) -> Path:
     """A worktree without the mechanism."""
     tree = folder / f"without-{mechanism.name}"
     if not tree.exists():
-        subprocess.run(["git", "worktree", "add", "-q", "--detach", str(tree), revision], check=True)
+        worktree(tree, revision)
         for edit in mechanism.edits:
             edit.apply(tree)
     return tree
 
 
-def play(bench: Path, folder: Path, names: Sequence[str], days: Sequence[str], at_once: int) -> None:
+def reason(name: str, day: DayToPlay) -> str:
+    """What the journal says of a day that is played without a mechanism."""
+    return f"{REASON} {name}: {day.day} seed {day.seed}"
+
+
+def play(bench: Path, folder: Path, names: Sequence[str], days: Sequence[DayToPlay], at_once: int) -> None:
     """Play each day with everything on and without each mechanism, some at a time."""
     command = ["git", "rev-parse", "HEAD"]
     revision = subprocess.run(command, check=True, capture_output=True, text=True).stdout.strip()
-    trees = {m.name: worktree(folder, revision, m) for m in chosen(names)}
-
-    def one(name: str, text: str) -> None:
-        site, day, seed = text.rsplit(":", 2)
-        call = [str(bench), "run", str(Path(site).resolve()), day, "--seed", seed, "--jobs", "1"]
-        reason = ["--why", f"{REASON} {name}: {day} seed {seed}"]
-        subprocess.run(call + reason, cwd=trees[name], check=False, stdout=subprocess.DEVNULL)
-        take_entries(trees[name])
-
+    trees = {m.name: tree_without(folder, revision, m) for m in chosen(names)}
     for tree in trees.values():
         subprocess.run([str(bench), "build"], cwd=tree, check=True, stdout=subprocess.DEVNULL)
     with ThreadPoolExecutor(at_once) as pool:
-        list(pool.map(lambda pair: one(*pair), [(name, text) for text in days for name in trees]))
+        runs = [
+            pool.submit(day.run, bench, tree, reason(name, day), "--jobs", "1", quiet=True)
+            for day in days
+            for name, tree in trees.items()
+        ]
+    for run in runs:
+        run.result()
 
 
 def ablated(entries: Iterable[dict[str, Any]]) -> Iterator[AblatedDay]:
     """The days that `play` had played, from entries of the journal."""
-    for entry in entries:
-        reason = entry.get("why") or ""
-        if entry.get("cmd") != "run" or entry.get("error") or not reason.startswith(f"{REASON} "):
-            continue
-        name = reason.removeprefix(f"{REASON} ").partition(":")[0]
-        for day in entry.get("days") or []:
-            if day.get("score") is None:
-                continue
-            broken = bool(day["rules"] or day["fault"])
-            yield AblatedDay(
-                name, entry["head"], entry["site"], day["name"], day["seed"], day["score"], broken
-            )
+    for found in plays(entries):
+        if found.why.startswith(f"{REASON} "):
+            yield AblatedDay(found.why.removeprefix(f"{REASON} ").partition(":")[0], found)
 
 
 def differences(found: Iterable[AblatedDay]) -> dict[tuple[str, str], list[float]]:
     """By mechanism and site: scores without it less those of the same days with everything on."""
     days = list(found)
-    whole = {(d.revision, d.site, d.day, d.seed): d.score for d in days if d.mechanism == NOTHING}
+    whole = {(d.play.revision, d.play.key): d.play.score for d in days if d.mechanism == NOTHING}
     result: defaultdict[tuple[str, str], list[float]] = defaultdict(list)
     for d in days:
-        base = whole.get((d.revision, d.site, d.day, d.seed))
+        base = whole.get((d.play.revision, d.play.key))
         if d.mechanism != NOTHING and base is not None:
-            result[d.mechanism, d.site].append(d.score - base)
+            result[d.mechanism, d.play.site].append(d.play.score - base)
     return dict(result)
 
 
@@ -156,7 +145,7 @@
     yield f"| --- |{' --- |' * (len(sites) + 1)}"
     for name in dict.fromkeys(name for name, _ in by_pair):
         cells = [_cell(by_pair.get((name, site), [])) for site in sites]
-        broken = sum(d.broken for d in found if d.mechanism == name)
+        broken = sum(d.play.broken for d in found if d.mechanism == name)
         yield f"| {name} | {' | '.join(cells)} | {broken} |"
 
 
@@ -176,13 +165,11 @@
     playing.add_argument("--folder", type=Path, required=True)
     playing.add_argument("--only", action="append", default=[], metavar="NAME")
     playing.add_argument("--at-once", type=int, default=6, metavar="N")
-    playing.add_argument("days", nargs="+", metavar="SITE:DAY:SEED")
+    playing.add_argument("days", nargs="+", type=DayToPlay.parse, metavar="SITE:DAY:SEED")
     verbs.add_parser("table")
     options = parser.parse_args(arguments)
     try:
         if options.verb == "play":
-            if any(text.count(":") < 2 or not text.rsplit(":", 1)[1].isdigit() for text in options.days):
-                parser.error("SITE:DAY:SEED is wanted, SEED a whole number")
             play(options.bench, options.folder, options.only, options.days, options.at_once)
     except AblationError as error:
         print(error, file=sys.stderr)
--- a/benchmarks/paired_days.py
+++ b/benchmarks/paired_days.py
@@ -19,7 +19,7 @@
 from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 import numpy as np
 
@@ -29,6 +29,29 @@
 LEVEL = 0.95
 
 
+class DayToPlay(NamedTuple):
+    """A day of a site, as the command line names it."""
+
+    site: str
+    day: str
+    seed: str
+
+    @classmethod
+    def parse(cls, text: str) -> DayToPlay:
+        """Read SITE:DAY:SEED. Raises ArgumentTypeError."""
+        parts = text.rsplit(":", 2)
+        if len(parts) < 3 or not parts[2].isdigit():
+            raise argparse.ArgumentTypeError("SITE:DAY:SEED is wanted, SEED a whole number")
+        return cls(*parts)
+
+    def run(self, bench: Path, tree: Path, why: str, *options: str, quiet: bool = False) -> None:
+        """Play it in a worktree, and take the entry that the bench writes."""
+        output = subprocess.DEVNULL if quiet else None
+        call = [str(bench), "run", str(Path(self.site).resolve()), self.day, "--seed", self.seed, *options]
+        subprocess.run([*call, "--why", why], cwd=tree, check=False, stdout=output)
+        take_entries(tree)
+
+
 @dataclass(frozen=True)
 class DayPlay:
     """One day as it was played."""
@@ -42,6 +65,7 @@
     prices: float
     broken: bool
     entry: str
+    why: str  # the reason that was given for the play
 
     @property
     def key(self) -> tuple[str, str, int]:
@@ -80,6 +104,7 @@
                 prices=sum(price[-1] for price in day["prices"]),
                 broken=bool(day["rules"] or day["fault"]),
                 entry=entry["id"],
+                why=entry.get("why") or "",
             )
 
 
@@ -140,16 +165,12 @@
             yield json.loads(text)
 
 
-def play(bench: Path, revisions: Sequence[str], folder: Path, days: Sequence[str], why: str) -> None:
+def play(bench: Path, revisions: Sequence[str], folder: Path, days: Sequence[DayToPlay], why: str) -> None:
     """Play each day on each revision in turn."""
-    trees = [worktree(folder, revision) for revision in revisions]
-    for text in days:
-        site, day, seed = text.rsplit(":", 2)
+    trees = [worktree(folder / f"pair-{revision}", revision) for revision in revisions]
+    for day in days:
         for tree, revision in zip(trees, revisions, strict=True):
-            reason = f"{why}: {day} seed {seed} on {revision}"[:119]
-            call = [str(bench), "run", str(Path(site).resolve()), day, "--seed", seed, "--why", reason]
-            subprocess.run(call, cwd=tree, check=False)
-            take_entries(tree)
+            day.run(bench, tree, f"{why}: {day.day} seed {day.seed} on {revision}"[:119])
 
 
 def take_entries(tree: Path) -> None:
@@ -164,9 +185,8 @@
             whole.rename(target)
 
 
-def worktree(folder: Path, revision: str) -> Path:
-    """A clean worktree of a revision."""
-    tree = folder / f"pair-{revision}"
+def worktree(tree: Path, revision: str) -> Path:
+    """A worktree of a revision; one that is there already is kept as it is."""
     if not tree.exists():
         subprocess.run(["git", "worktree", "add", "-q", "--detach", str(tree), revision], check=True)
     return tree
@@ -180,15 +200,13 @@
     playing.add_argument("--bench", type=Path, required=True)
     playing.add_argument("--folder", type=Path, required=True)
     playing.add_argument("--why", default="pair")
-    playing.add_argument("days", nargs="+", metavar="SITE:DAY:SEED")
+    playing.add_argument("days", nargs="+", type=DayToPlay.parse, metavar="SITE:DAY:SEED")
     table = verbs.add_parser("table")
     for verb in (playing, table):
         verb.add_argument("--a", required=True, metavar="REV")
         verb.add_argument("--b", required=True, action="append", metavar="REV")
     options = parser.parse_args(arguments)
     if options.verb == "play":
-        if any(text.count(":") < 2 or not text.rsplit(":", 1)[1].isdigit() for text in options.days):
-            parser.error("SITE:DAY:SEED is wanted, SEED a whole number")
         play(options.bench, [options.a, *options.b], options.folder, options.days, options.why)
     pairs = paired(plays(journal()), options.a, options.b)
     if not pairs:
--- a/benchmarks/tier_table.py
+++ b/benchmarks/tier_table.py
@@ -7,11 +7,10 @@
 
 from __future__ import annotations
 
-import json
-from pathlib import Path
 from typing import Any
 
-JOURNAL = Path("journal")
+from benchmarks.paired_days import journal
+
 HEADER = ("program", "site", "run", "rules broken", "score", "days")
 
 
@@ -35,11 +34,7 @@
 def rows() -> list[tuple[str, ...]]:
     """Rows of all whole scores and hunts of the tier, in order of time."""
     found = []
-    for path in sorted(JOURNAL.glob("*.json")):
-        text = path.read_text()
-        if not text:  # never finished
-            continue
-        entry = json.loads(text)
+    for entry in journal():
         of_the_tier = (
             entry.get("cmd") in ("score", "hunt") and entry.get("days") and "rules" in entry["days"][0]
         )
--- a/tests/test_ablation.py
+++ b/tests/test_ablation.py
@@ -14,9 +14,17 @@
 
 def entry(name: str, score: float | None, seed: int = 1, head: str = "a1", **more: Any) -> dict[str, Any]:
     """An entry of the journal."""
-    day = {"name": "scale-1", "seed": seed, "score": score, "rules": [], "fault": None}
+    day = {
+        "name": "scale-1",
+        "seed": seed,
+        "score": score,
+        "rules": [],
+        "fault": None,
+        "parts": [],
+        "prices": [],
+    }
     why = f"{ablation.REASON} {name}: scale-1 seed {seed}"
-    return {"cmd": "run", "head": head, "site": "here", "why": why, "days": [day], **more}
+    return {"cmd": "run", "id": "e", "head": head, "site": "here", "why": why, "days": [day], **more}
 
 
 @pytest.mark.parametrize("mechanism", ablation.mechanisms(), ids=lambda m: m.name)
