--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,7 +10,7 @@
 from tests.known_red import KnownRed, KnownRedError, check_collected, parse
 
 FILE = "KNOWN-RED.txt"
-KNOWN: pytest.StashKey[dict[str, KnownRed]] = pytest.StashKey()
+KNOWN: pytest.StashKey[list[KnownRed]] = pytest.StashKey()
 
 
 def _read(root: Path) -> list[KnownRed]:
@@ -23,19 +23,19 @@
 def pytest_configure(config: pytest.Config) -> None:
     """Read the file here: where tests run in several processes, the one that prints collects nothing."""
     try:
-        config.stash[KNOWN] = {one.test: one for one in _read(config.rootpath)}
+        config.stash[KNOWN] = _read(config.rootpath)
     except KnownRedError as error:
         raise pytest.UsageError(f"{FILE}: {error}") from None
 
 
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
     """Mark the tests that are known to fail."""
-    by_test = config.stash[KNOWN]
+    by_test = {one.test: one for one in config.stash[KNOWN] if one.test}
     if not hasattr(config, "workerinput"):  # a worker process cannot say why it ends
         _check(config, [item.nodeid for item in items])
     for item in items:
         if item.nodeid in by_test:
-            item.add_marker(pytest.mark.xfail(reason=by_test[item.nodeid].cause, strict=False))
+            item.add_marker(pytest.mark.xfail(reason=by_test[item.nodeid].seen, strict=False))
 
 
 def _check(config: pytest.Config, collected: list[str]) -> None:
@@ -44,8 +44,9 @@
     named = [str(arg) for arg in config.args if "::" in str(arg)]
     if named or config.option.keyword:
         return
+    known: list[KnownRed] = config.stash[KNOWN]
     try:
-        check_collected(list(config.stash[KNOWN].values()), config.rootpath, collected)
+        check_collected(known, config.rootpath, collected)
     except KnownRedError as error:
         raise pytest.UsageError(f"{FILE}: {error}") from None
 
@@ -57,10 +58,10 @@
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter, config: pytest.Config) -> None:
-    """Print each test that is known to fail, and whether it still does."""
-    known = config.stash.get(KNOWN, {})
+    """Print each finding that is known to fail, and whether a test of it still does."""
+    known: list[KnownRed] = config.stash.get(KNOWN, [])
     failed = {report.nodeid for report in terminalreporter.stats.get("xfailed", [])}  # subtests of it too
     passed = {report.nodeid for report in terminalreporter.stats.get("xpassed", [])} - failed
-    for one in known.values():
+    for one in known:
         word = "PASSES, to be removed" if one.test in passed else "known to fail"
-        terminalreporter.write_line(f"{FILE}: {word}: {one.test} ({one.cause}; issue {one.issue})")
+        terminalreporter.write_line(f"{FILE}: {word}: {one}")
