A replica is elections, following, leading, leases, progress and joining, each on its own

Change: state.py (what all parts share), elections.py, following.py, leading.py, leases.py, progress.py, joining.py; replica.py puts them together and hands calls on. Planted mistakes of the tests replace a part each, the same mistakes as before.

--- a/heronstall/controlplane/hosting.py
+++ b/heronstall/controlplane/hosting.py
@@ -22,7 +22,8 @@
     address_of,
     microseconds,
 )
-from heronstall.replication.replica import Output, Replica
+from heronstall.replication.replica import Replica
+from heronstall.replication.state import Output
 from heronstall.storage.journal import Journal, Recovered
 from heronstall.transport.frames import Kind
 from heronstall.transport.links import Links
@@ -113,8 +114,7 @@
         """Run a replica of a group, from what the disk holds of it."""
         image = self._images.pop(group, None)
         replica = Replica(group, self.me, self._timing, self._random, self.now(), image)
-        replica.dump = machine.dump
-        replica.tells_commit = tells_commit
+        replica.carry(machine.dump, tells_commit)
         machine.restore(image.snapshot.state if image and image.snapshot else b"")
         self.groups[group] = Hosted(replica, machine)
         return replica
--- a/heronstall/replication/membership.py
+++ b/heronstall/replication/membership.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from heronstall.replication.protocol import Timing, address_of
-from heronstall.replication.replica import Replica, Role
+from heronstall.replication.replica import Replica
+from heronstall.replication.state import Role
 
 BEHIND = 16  # entries that a learner may lack when it is made a voter; the vote itself waits for them
 
--- a/tests/tier/cluster.py
+++ b/tests/tier/cluster.py
@@ -8,7 +8,8 @@
 
 from heronstall.replication.log import Image
 from heronstall.replication.protocol import EntryKind, RecordKind, Timing
-from heronstall.replication.replica import Replica, Role
+from heronstall.replication.replica import Replica
+from heronstall.replication.state import Role
 from heronstall.transport.messages import DiskRecord, GroupMessage, LogEntry, Snapshot
 
 GROUP = "g"
@@ -216,7 +217,7 @@
         machine = Machine()
         image = disk.image()
         replica = self.made(GROUP, f"{name}#{incarnation}", self.timing, self.rng, self.clock(name), image)
-        replica.dump = machine.dump
+        replica.carry(machine.dump)
         if image is not None and image.snapshot is not None:
             machine.restore(image.snapshot.state)
         return Node(name, incarnation, disk, replica, machine)
--- a/tests/tier/test_early_elections.py
+++ b/tests/tier/test_early_elections.py
@@ -4,8 +4,10 @@
 
 import unittest
 
+from heronstall.replication.elections import Elections
 from heronstall.replication.protocol import MessageKind, Timing, quorum
-from heronstall.replication.replica import Replica, Role
+from heronstall.replication.replica import Replica
+from heronstall.replication.state import Role
 from tests.tier.cluster import Cluster, Violation, is_found
 from tests.tier.rough_cluster import RoughCluster
 
@@ -151,19 +153,27 @@
             walk(seed, size=5)
 
 
+class AnyRoleCannotLead(Elections):
+    def cannot_lead_before(self, term: int) -> bool:
+        return term == self._state.term + 1
+
+
 class LeaderDeniesLeading(Replica):
     """Planted: a leader says that it cannot lead."""
 
-    def _cannot_lead_before(self, term: int) -> bool:
-        return term == self.term + 1
+    elections_type = AnyRoleCannotLead
+
+
+class MajorityIsEnough(Elections):
+    def nobody_leads(self) -> bool:
+        members = self._state.log.members
+        return len(self._leaderless & set(members)) + 1 >= quorum(len(members))
 
 
 class MajorityDeniesLeading(Replica):
     """Planted: a majority's word is enough."""
 
-    def _nobody_leads(self) -> bool:
-        members = self.log.members
-        return len(self._leaderless & set(members)) + 1 >= quorum(len(members))
+    elections_type = MajorityIsEnough
 
 
 class PlantedMistakes(unittest.TestCase):
--- a/tests/tier/test_replication.py
+++ b/tests/tier/test_replication.py
@@ -5,8 +5,12 @@
 import itertools
 import unittest
 
+from heronstall.replication.elections import Elections
+from heronstall.replication.leading import Leading
+from heronstall.replication.leases import Leases
 from heronstall.replication.protocol import APPEND_BYTES, MessageKind
-from heronstall.replication.replica import Replica, Role
+from heronstall.replication.replica import Replica
+from heronstall.replication.state import ReplicaState, Role
 from heronstall.transport.messages import GroupMessage
 from tests.tier.cluster import Cluster, Violation, is_found
 
@@ -43,43 +47,56 @@
     return best if counts[best] * 2 > len(cluster.nodes) else ()
 
 
+class UnwrittenVotes(ReplicaState):
+    def record_vote(self) -> None:
+        if self.role is Role.CANDIDATE:
+            super().record_vote()
+
+
 class VotesTwice(Replica):
     """Planted: forgets its vote at a restart."""
 
-    def _record_vote(self) -> None:
-        if self.role is Role.CANDIDATE:
-            super()._record_vote()
+    state_type = UnwrittenVotes
+
+
+class AnyTerm(Leading):
+    def advance(self, now: float) -> None:
+        index = self._followers.quorum_match(self._state.log.members, self._state.durable)
+        self._state.commit = max(self._state.commit, index)
 
 
 class CommitsByCount(Replica):
     """Planted: commits entries of former terms by count."""
 
-    def _advance(self, now: float) -> None:
-        from heronstall.replication.protocol import quorum
+    leading_type = AnyTerm
 
-        matches = sorted([self._durable if v == self.me else self._match(v) for v in self.log.members])
-        index = matches[len(matches) - quorum(len(matches))] if matches else 0
-        self.commit = max(self.commit, index)
+
+class VotesByAddress(Elections):
+    def won(self) -> bool:
+        names = {v.partition("#")[0] for v in self._votes}
+        return len(names) * 2 > len(self._state.log.members)
 
 
 class Forgetful(Replica):
     """Planted: a replica without its disk votes under its former identity."""
 
+    elections_type = VotesByAddress
+
     def receive(self, now: float, m: GroupMessage) -> None:
         if m.recipient.partition("#")[0] == self.me.partition("#")[0]:
             m.recipient = self.me
         super().receive(now, m)
 
-    def _won(self) -> bool:
-        names = {v.partition("#")[0] for v in self._votes}
-        return len(names) * 2 > len(self.log.members)
+
+class EndlessLeases(Leases):
+    def holds(self, now: float) -> bool:
+        return self.established
 
 
 class NoLeaseLimit(Replica):
     """Planted: a leader serves as long as it believes itself to lead."""
 
-    def holds_lease(self, now: float) -> bool:
-        return self.established
+    leases_type = EndlessLeases
 
 
 class Walks(unittest.TestCase):
--- a/tests/tier/test_rough_walks.py
+++ b/tests/tier/test_rough_walks.py
@@ -5,7 +5,11 @@
 import copy
 import unittest
 
-from heronstall.replication.replica import Replica, Role
+from heronstall.replication.following import Following
+from heronstall.replication.leading import Leading
+from heronstall.replication.leases import Leases
+from heronstall.replication.progress import Progress
+from heronstall.replication.replica import Replica
 from heronstall.transport.messages import GroupMessage
 from tests.tier.cluster import Violation, is_found
 from tests.tier.rough_cluster import RoughCluster
@@ -78,63 +82,92 @@
     return f"{m.sender} to {m.recipient}: {m.kind} at {m.log_index}, {len(m.entries)} entries"
 
 
+class ReplacesLog(Following):
+    def on_snapshot(self, now: float, m: GroupMessage) -> None:
+        if m.snapshot.index > self._state.commit:
+            self.install(m.snapshot)
+        self.reply(now, m, True, self._state.commit)
+
+
 class ForgetsBeyondSnapshots(Replica):
     """Planted: a snapshot replaces what lies beyond it."""
 
-    def _on_snapshot(self, now: float, m: GroupMessage) -> None:
-        if m.snapshot.index > self.commit:
-            self._install(m.snapshot)
-        self._reply(now, m, True, self.commit)
+    following_type = ReplacesLog
+
+
+class CommittedIsEnough(Leases):
+    @property
+    def established(self) -> bool:
+        return self._state.leads and self._state.commit >= self._state.term_start
 
 
 class ServesWhatIsNotApplied(Replica):
     """Planted: the entry of the own term is committed, and not yet in the state."""
 
-    @property
-    def established(self) -> bool:
-        return self.role is Role.LEADER and self.commit >= self._term_start
+    leases_type = CommittedIsEnough
+
+
+class TimeOfArrival(Leases):
+    def in_touch(self, now: float, within: float) -> bool:
+        if self._state.leads:
+            return now - self.quorum_round(now) < within
+        return bool(self._state.leader) and now - self._state.heard_at < within
 
 
 class BelievesLateMessages(Replica):
     """Planted: in touch by when a message came, not by when it was sent."""
 
-    def in_touch(self, now: float, within: float) -> bool:
-        if self.role is Role.LEADER:
-            return now - self._quorum_round(now) < within
-        return bool(self.leader) and now - self._heard_at < within
+    leases_type = TimeOfArrival
+
+
+class SendsMarksBack(Leading):
+    def send_entries(self, now: float, replica: str, progress: Progress) -> None:
+        with_lease = self._leases.holds
+        self._leases.holds = lambda now: True  # type: ignore[method-assign]
+        super().send_entries(now, replica, progress)
+        self._leases.holds = with_lease  # type: ignore[method-assign]
 
 
 class ConfirmsWithoutLease(Replica):
     """Planted: a leader that may be deposed says that its followers know all."""
 
-    def _send_entries(self, now: float, replica: str, progress: object) -> None:
-        with_lease = self.holds_lease
-        self.holds_lease = lambda now: True  # type: ignore[method-assign]
-        super()._send_entries(now, replica, progress)  # type: ignore[arg-type]
-        self.holds_lease = with_lease  # type: ignore[method-assign]
+    leading_type = SendsMarksBack
+
+
+class BelievesMarksAtOnce(Following):
+    def on_append(self, now: float, m: GroupMessage) -> None:
+        if m.confirms:
+            marked = self._leases.marked_at(now, m.confirms)
+            self._leases._confirmed_at = max(self._leases._confirmed_at, marked)
+        super().on_append(now, m)
 
 
 class ConfirmedThoughBehind(Replica):
     """Planted: a follower counts as informed before it has what the leader has committed."""
 
-    def _on_append(self, now: float, m: GroupMessage) -> None:
-        if m.confirms:
-            self._confirmed_at = max(self._confirmed_at, self._marked_at(now, m.confirms))
-        super()._on_append(now, m)
+    following_type = BelievesMarksAtOnce
+
+
+class MarksByClockAlone(Leases):
+    def marked_at(self, now: float, mark: int) -> float:
+        return now
 
 
 class MarksOfAnotherLife(Replica):
     """Planted: marks count by the clock alone; those of a former life pass for own ones."""
 
-    def _marked_at(self, now: float, mark: int) -> float:
-        return now
+    leases_type = MarksByClockAlone
+
+
+class EndlessLeases(Leases):
+    def holds(self, now: float) -> bool:
+        return self.established
 
 
 class LeadsWithoutQuorum(Replica):
     """Planted: the lease does not end."""
 
-    def holds_lease(self, now: float) -> bool:
-        return self.established
+    leases_type = EndlessLeases
 
 
 class Walks(unittest.TestCase):
