A refused write is tried again though nothing new comes, as where a voter is alone

Cause: GroupHost.flush wrote what its disk had refused only in a turn in which some replica had something new; a single voter (a deployment that bears no loss) sends and hears nothing, so the command waited for the next order.

Change: a write that is due again is reason enough for a turn of flush.

Figures: test_a_refused_write_is_tried_again_without_another_command fails on the code before, passes now (0.25 s of its clock after the refusal).

--- a/heronstall/controlplane/hosting.py
+++ b/heronstall/controlplane/hosting.py
@@ -190,7 +190,8 @@
         self._flush_due = False
         for _ in range(8):
             outputs = [(h, h.replica.take_output()) for h in self.groups.values()]
-            if not any(o.early or o.records or o.late or o.install or o.apply for _, o in outputs):
+            busy = any(o.early or o.records or o.late or o.install or o.apply for _, o in outputs)
+            if not busy and not self._write_due():
                 break
             self._send([m for _, o in outputs for m in o.early])
             self._pending += [r for _, o in outputs for r in o.records]
@@ -237,6 +238,10 @@
                 image.entries.pop()
             image.entries.extend(record.entries)
 
+    def _write_due(self) -> bool:
+        """Whether a write that was refused is to be tried again, though there may be nothing new to write."""
+        return bool(self._pending) and self.now() >= self._disk_after
+
     def _write_pending(self) -> None:
         if self._pending:
             if self.now() < self._disk_after:
--- a/tests/tier/test_hosting.py
+++ b/tests/tier/test_hosting.py
@@ -10,8 +10,16 @@
 from typing import cast
 from unittest import mock
 
-from heronstall.controlplane.hosting import DISK_RETRY, EntryId, GroupHost, Superseded, Undecided
+from heronstall.controlplane.hosting import (
+    DISK_RETRY,
+    TICK,
+    EntryId,
+    GroupHost,
+    Superseded,
+    Undecided,
+)
 from heronstall.replication.protocol import Timing
+from heronstall.storage.journal import Journal
 from heronstall.transport.frames import Kind
 from heronstall.transport.links import Links
 
@@ -216,6 +224,36 @@
         self.waiting.clear()
 
 
+class SingleVoter(unittest.IsolatedAsyncioTestCase):
+    """A group that bears no loss: nobody's message brings the next turn."""
+
+    async def test_a_refused_write_is_tried_again_without_another_command(self) -> None:
+        now = 500.0
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            mock.patch.object(GroupHost, "now", lambda *_: now),
+        ):
+            host = GroupHost("a:1", Path(folder), cast(Links, Wire([])), Timing(), True, 1 << 20)
+            machine = Commands()
+            replica = host.add(GROUP, machine)
+            replica.form(now, (host.me,))
+            while not replica.established:
+                now += TICK
+                replica.tick(now)
+                host.flush()
+            with mock.patch.object(Journal, "sync", side_effect=OSError(errno.ENOSPC, "full")):
+                proposed = asyncio.create_task(host.propose(GROUP, b"one", 5.0))
+                await asyncio.sleep(0)
+                host.flush()
+            self.assertEqual(machine.commands, [])
+            for _ in range(2 * round(DISK_RETRY / TICK)):
+                now += TICK
+                replica.tick(now)
+                host.flush()
+            self.assertEqual(machine.commands, [b"one"])
+            self.assertEqual(await proposed, 1)
+
+
 class FullDisks(HostCase):
     def refuse(self, host: GroupHost) -> mock._patch[mock.Mock]:
         return mock.patch.object(host._journal, "append", side_effect=OSError(errno.ENOSPC, "full"))
