A reader of batch results that comes while a dispatcher ends is answered at once

Cause: a read may be held for up to 2 s for a result; one that came during a drain held the end up for so long.

Change: while the front ends, a read asks its owner without a wait. One that was held before is answered before the front closes (2 s at most, the front closes 2.3 s after the signal).

--- a/heronstall/dataplane/batch_front.py
+++ b/heronstall/dataplane/batch_front.py
@@ -5,6 +5,7 @@
 import base64
 import binascii
 import time
+from collections.abc import Callable
 from typing import Any
 
 import ujson
@@ -67,11 +68,17 @@
 
 
 class BatchFront:
-    """Answers the calls of batch jobs, by the shard's owner."""
-
-    def __init__(self, shards: ShardClient, misses: MissLog | None = None) -> None:
+    """Answers the calls of batch jobs, by the shard's owner. `ending`: whether this process ends."""
+
+    def __init__(
+        self,
+        shards: ShardClient,
+        misses: MissLog | None = None,
+        ending: Callable[[], bool] = lambda: False,
+    ) -> None:
         self._shards = shards
         self._misses = misses or MissLog()
+        self._ending = ending
 
     async def submit(self, request: web.BaseRequest, route: Route, body: bytes) -> web.Response:
         """Take a batch job: 202 once it is kept, 429 or 503 where none of it will run."""
@@ -116,6 +123,8 @@
         if not start_text.isdigit() or not wait_text.isdigit():
             return web.json_response({"error": "start_after, Heronstall-Wait-Ms: whole numbers"}, status=400)
         start, wait = int(start_text), min(WAIT_MOST, int(wait_text) / 1000)
+        if self._ending():
+            wait = 0.0  # a reader that waits would hold the end up
         shard = batch_shard(host)
         call = ReadRequest(job=job, start=start, wait_ms=int(wait * 1000), shard=shard)
         reply = await self._shards.call(shard, Kind.READ, bytes(call), READ_WITHIN, hold=wait)
--- a/heronstall/dataplane/node.py
+++ b/heronstall/dataplane/node.py
@@ -65,7 +65,7 @@
         bounds = settings.bounds
         self.ingress = Ingress(
             forwarder,
-            BatchFront(shards, self.misses),
+            BatchFront(shards, self.misses, lambda: self.front.ending),
             self.deferred,
             rng,
             lambda: time.monotonic() - self.puller.known_at,
