An attempt by hand tells why it brought no answer

Cause: the lab's record of a request sent by hand holds status 0 for a refused connection, one that was closed without an answer, and a time-out alike; a test that failed so (test_losses at_two_at_once) could not be traced.

Change: ManualAttempt.failure has the error.

--- a/heronstall/lab/manual_requests.py
+++ b/heronstall/lab/manual_requests.py
@@ -17,12 +17,13 @@
 
 @dataclass
 class ManualAttempt:
-    """One try of a job: what its client got. `status` 0: no answer, the connection broke or time was up."""
+    """One try of a job: what its client got. `status` 0: no whole answer, for the reason in `failure`."""
 
     number: int
     nth: int
     node: int
     status: int = 0
+    failure: str = ""  # how the connection ended, where it brought no whole answer
     body: bytes = b""
     took: float = 0.0
     at: float = 0.0  # when it ended, on the event loop's clock
@@ -30,7 +31,7 @@
 
 
 class ManualClient:
-    """ManualClient in jobs of one run."""
+    """Hands in jobs of one run, one by one."""
 
     def __init__(self, run: Run, first: int) -> None:
         self._run = run
@@ -77,8 +78,8 @@
                     if row.lower().startswith(b"content-length:"):
                         length = int(row.split(b":")[1])
                 made.status, made.body = int(line.split()[1]), await reader.readexactly(length)
-        except (OSError, TimeoutError, IndexError, ValueError, asyncio.IncompleteReadError):
-            made.status = 0
+        except (OSError, TimeoutError, IndexError, ValueError, asyncio.IncompleteReadError) as error:
+            made.status, made.failure = 0, repr(error)
         finally:
             made.sent.set()
             made.at = loop.time()
