A relay of the lab closes a socket only once nothing waits on it

Cause: the failure of test_losses at_two_at_once (statuses 200: 17, 0: 1). Where one direction of a relayed connection broke, gather left the other one waiting and both sockets were closed under it; the event loop kept the number as known, and the next socket that got it could not be waited on (epoll_ctl MOD). A fault of the lab's relay: no program of ours waits on raw sockets in asyncio, and the dispatcher's own loop forgets a number before it closes it.

Change: the other direction is ended before the sockets are closed; a relay's end leaves closing to each connection's task.

--- a/heronstall/lab/relay.py
+++ b/heronstall/lab/relay.py
@@ -133,8 +133,14 @@
         task = asyncio.get_running_loop().create_task(self._serve(sock))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(lambda _: sock.close())  # of one that was cancelled before it began, too
 
     async def _serve(self, near: socket.socket) -> None:
+        """Carry both directions until both have ended, or one has broken.
+
+        Neither socket is closed while a direction waits on it: the event loop would keep its number as one
+        that it knows, and the next socket that gets this number could not be waited on (ENOENT).
+        """
         loop = asyncio.get_running_loop()
         far = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         task = asyncio.current_task()
@@ -143,10 +149,10 @@
         self._pairs[pair] = None
         try:
             await loop.sock_connect(far, self.target)
-            await asyncio.gather(
-                self._pump(pair, near, far, self.there), self._pump(pair, far, near, self.back)
-            )
-        except OSError:
+            async with asyncio.TaskGroup() as directions:  # where one breaks, the other is ended first
+                directions.create_task(self._pump(pair, near, far, self.there))
+                directions.create_task(self._pump(pair, far, near, self.back))
+        except* OSError:
             pair.reset()  # the far end cannot be reached, or has broken: the near one sees that
         finally:
             self._pairs.pop(pair, None)
@@ -188,11 +194,9 @@
         return len(self._pairs)
 
     def close(self) -> None:
-        """End it."""
+        """End it: each connection's task closes its sockets."""
         for task in self._tasks:
             task.cancel()
-        for pair in list(self._pairs):
-            pair.close()
         for sock in self._held:
             sock.close()
 
