After a loss of power a dispatcher is told as soon as a core node may tell

Change: a connection that fails is tried again after 0.03 s for a second of failing, then after 0.15 s as before; a core node holds the pull of a caller that knows nothing until it may tell, within the time that the caller gave. Nothing is told sooner than before: the check is the same, only asked again. Who knows something is refused at once, as before.

--- a/heronstall/controlplane/core.py
+++ b/heronstall/controlplane/core.py
@@ -55,6 +55,7 @@
 COMMIT_WITHIN = 2.5  # seconds
 CONFIRM_WITHIN = 0.5  # seconds for the answers of a majority
 SILENT_BEATS = 3.2  # heartbeats that a worker may miss
+FRESH_LOOK = 0.01  # seconds between looks whether this node may tell its views
 
 
 class Core(ReplicaNode):
@@ -190,10 +191,14 @@
         versions = {v.shard: v.version for v in request.versions}
         deadline = self.host.now() + request.wait_ms / 1000
         while True:
+            left = deadline - self.host.now()
             if not self.fresh():
-                return Reply(Status.UNSURE)
+                # A caller that knows nothing waits: it has just started, as this node perhaps has too.
+                if versions.get(CONFIG) or left <= 0:
+                    return Reply(Status.UNSURE)
+                await asyncio.sleep(min(left, FRESH_LOOK))
+                continue
             news = self._news_since(versions)
-            left = deadline - self.host.now()
             if news or left <= 0:
                 reply = self._sync_reply(versions)
                 if request.session.machine_class == "edge":
--- a/heronstall/transport/links.py
+++ b/heronstall/transport/links.py
@@ -15,7 +15,9 @@
 from heronstall.transport.frames import Frame, FrameError, FrameReader, Kind, Status, encode
 
 CONNECT_WITHIN = 0.6  # seconds
-RETRY_AFTER = 0.15  # seconds before a failed connection is tried again
+RETRY_SOON = 0.03  # seconds before a failed connection is tried again: a process that restarts is back soon
+RETRY_SOON_FOR = 1.0  # seconds of failing
+RETRY_AFTER = 0.15  # seconds before it is tried again from then on
 UNACKED_MS = 1_200  # sent bytes unacknowledged for so long end the connection
 ONE_WAY_LIMIT = 32 * 1024 * 1024  # bytes that may wait for a peer; one-way messages beyond are dropped
 
@@ -105,6 +107,7 @@
         self._protocol: _Outgoing | None = None
         self._connecting: asyncio.Task[None] | None = None
         self._held: list[bytes] = []
+        self._failing_since: float | None = None  # steady time
         self._numbers = 0
         self._closed = False
 
@@ -170,18 +173,25 @@
         try:
             async with asyncio.timeout(CONNECT_WITHIN):
                 _, protocol = await loop.create_connection(lambda: _Outgoing(self._on_lost), host, int(port))
-            self._protocol = protocol
+            self._protocol, self._failing_since = protocol, None
             held, self._held = self._held, []
             for data in held:
                 self._write(data)
         except (OSError, TimeoutError):
             self._held.clear()
-            await asyncio.sleep(RETRY_AFTER)
+            await asyncio.sleep(self._pause())
         finally:
             self._connecting = None
         if self._protocol is None and self._held:  # said meanwhile, and nothing more may be
             self._connecting = asyncio.get_running_loop().create_task(self._open())
 
+    def _pause(self) -> float:
+        """Seconds before a connection that has failed is tried again."""
+        now = time.monotonic()
+        if self._failing_since is None:
+            self._failing_since = now
+        return RETRY_SOON if now - self._failing_since < RETRY_SOON_FOR else RETRY_AFTER
+
     def _on_lost(self) -> None:
         self._protocol = None
 
--- a/tests/tier/test_core_simulation.py
+++ b/tests/tier/test_core_simulation.py
@@ -13,6 +13,8 @@
 from typing import Any
 from unittest import mock
 
+import ujson
+
 from heronstall.controlplane import core
 from heronstall.controlplane.api import ControlApi
 from heronstall.controlplane.core import Core
@@ -20,7 +22,8 @@
 from heronstall.controlplane.state.config_shard import ChangeOutcome, ConfigShard
 from heronstall.distribution.shards import CONFIG
 from heronstall.replication.protocol import Timing
-from heronstall.transport.messages import ConfigChange
+from heronstall.transport.frames import Status
+from heronstall.transport.messages import ConfigChange, Session, ShardVersion, SyncReply, SyncRequest
 from tests.tier.core_simulation import CONFIG_APPLY, SimulatedCore, Violated, simulated
 from tests.tier.core_walks import play
 from tests.tier.register_history import Answer
@@ -116,6 +119,52 @@
         with tempfile.TemporaryDirectory() as folder, simulated(Path(folder), 7, size) as tier:
             run_virtually(run(tier))
 
+    def test_who_knows_nothing_is_told_as_soon_as_a_restarted_node_may_tell(self) -> None:
+        """A first pull is held for its time instead of being refused, and nothing old is told meanwhile."""
+
+        async def run(tier: SimulatedCore) -> None:
+            await tier.start(dispatchers=0)
+            await asyncio.sleep(2.0)
+            leader = tier.leader()
+            assert leader is not None
+            await tier.change(0, 1, "x", leader)
+            for ip in tier.machines:
+                tier.kill(ip, power=False)
+            for ip in tier.machines:
+                await tier.boot(ip)
+            core = tier.machines[leader].core
+            assert core is not None
+            self.assertFalse(core.fresh())
+            asked = SyncRequest(Session(name="e", machine_class="edge"), [], 1000)
+            began = time.monotonic()
+            reply = await core._sync(asked)
+            self.assertEqual(reply.status, Status.OK)
+            self.assertEqual(ujson.loads(SyncReply().parse(reply.body).document)["revision"], 1)
+            self.assertTrue(core.fresh())
+            self.assertLess(time.monotonic() - began, 1.0)
+
+        self.play(run)
+
+    def test_who_knows_something_is_refused_at_once_by_a_node_that_may_not_tell(self) -> None:
+        async def run(tier: SimulatedCore) -> None:
+            await tier.start(dispatchers=0)
+            await asyncio.sleep(2.0)
+            alone = sorted(tier.machines)[0]
+            for ip in [ip for ip in tier.machines if ip != alone]:
+                tier.kill(ip, power=True)
+            await asyncio.sleep(2.0)
+            core = tier.machines[alone].core
+            assert core is not None
+            knows = SyncRequest(Session(name="e", machine_class="edge"), [ShardVersion(CONFIG, 1)], 1000)
+            began = time.monotonic()
+            self.assertEqual((await core._sync(knows)).status, Status.UNSURE)
+            self.assertEqual(time.monotonic(), began)
+            knows_nothing = SyncRequest(Session(name="e", machine_class="edge"), [], 100)
+            self.assertEqual((await core._sync(knows_nothing)).status, Status.UNSURE)
+            self.assertAlmostEqual(time.monotonic() - began, 0.1, delta=0.02)
+
+        self.play(run)
+
     def test_news_comes_within_the_bound_past_two_dead_nodes(self) -> None:
         async def run(tier: SimulatedCore) -> None:
             await tier.start(dispatchers=12)
