--- a/tests/tier/core_simulation.py
+++ b/tests/tier/core_simulation.py
@@ -25,6 +25,7 @@
 from heronstall.controlplane import replica_node
 from heronstall.controlplane.api import ControlApi
 from heronstall.controlplane.core import Core
+from heronstall.controlplane.replica_node import ReplicaNode
 from heronstall.distribution.freshness import KnowledgeLimits
 from heronstall.distribution.shards import CONFIG
 from heronstall.distribution.view import View
@@ -133,6 +134,9 @@
     def drop(self) -> None:
         """Connections are no part of the model."""
 
+    def drop_if_silent(self, since: float) -> None:
+        """Neither here."""
+
 
 class SimulatedLinks:
     """All ways from one node."""
@@ -259,13 +263,17 @@
         """End a process; without power its machine says nothing to callers."""
         machine = self.machines[ip]
         core, machine.core, machine.api = machine.core, None, None
-        server = self.network.servers.pop(machine.address, None)
+        self._end(machine.address, core, power)
+
+    def _end(self, address: str, node: ReplicaNode | None, power: bool) -> None:
+        """End a node's process; without power its machine says nothing to callers."""
+        server = self.network.servers.pop(address, None)
         if not power:
-            self.network.refusing.add(machine.address)
-        for task in [*(core._tasks if core else ()), *(server.tasks if server else ())]:
+            self.network.refusing.add(address)
+        for task in [*(node._tasks if node else ()), *(server.tasks if server else ())]:
             task.cancel()
-        if core is not None:
-            core.host.flush = lambda: None  # type: ignore[method-assign]
+        if node is not None:
+            node.host.flush = lambda: None  # type: ignore[method-assign]
 
     def wipe(self, ip: str) -> None:
         """Lose a disk; the next process there is none of the first start."""
@@ -427,10 +435,12 @@
 
 
 @contextlib.contextmanager
-def simulated(root: Path, seed: int, size: int = 3) -> Iterator[SimulatedCore]:
+def simulated(
+    root: Path, seed: int, size: int = 3, made: type[SimulatedCore] | None = None
+) -> Iterator[SimulatedCore]:
     """A core whose nodes are made with the simulated network; to be used in virtual time."""
     rng = random.Random(seed)
-    tier = SimulatedCore(root, rng, size)
+    tier = (made or SimulatedCore)(root, rng, size)
 
     def server(serve: Any, one_way: Any) -> SimulatedServer:
         return SimulatedServer(tier.network, serve, one_way)
