A draw among many workers compares its own, a prompt's homes, and some others at random

Cause: a draw looked at all workers of a service: 2 to 3 ms at 600, for each request; ranking a large prompt's homes hashed all of them again, twice.

Change: up to 48 workers all are compared, as before. Of more a draw compares those that the dispatcher prefers or has a share of, the prompt's homes (kept by part until the registry changes) and 32 at random, each of which stands for several; where none of these is sound, all are. A worker that a planner names is looked up instead of searched for.

--- a/heronstall/dataplane/admission.py
+++ b/heronstall/dataplane/admission.py
@@ -46,7 +46,10 @@
         return self._draw.usable(worker, service)
 
     def home_rank(self, worker: WorkerState, prefix: SharedPrefix) -> int | None:
-        """A worker's place, from 0, among those that a prompt's shared part belongs to; None: to nobody."""
+        """A worker's place, from 0, among the homes of a prompt's shared part; their number for any other.
+
+        None where the prompt belongs to nobody.
+        """
         return self._draw.home_rank(worker, prefix)
 
     def room_for_item(self, service: str) -> bool:
--- a/heronstall/dataplane/workers.py
+++ b/heronstall/dataplane/workers.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from dataclasses import dataclass, field
+from heapq import nlargest
 
 import aiohttp
 from multidict import CIMultiDict
@@ -14,6 +15,7 @@
 from heronstall.dataplane.connections import FreshestFirst, RestLimit
 from heronstall.dataplane.pace import Pace
 from heronstall.dataplane.subset import Seat, Share, ring, shares
+from heronstall.placement.reading import affinity
 from heronstall.sessions.loads import WorkerLoad
 from heronstall.transport.messages import Worker as Entry
 
@@ -22,6 +24,8 @@
 WITNESSES = 2  # other dispatchers that must have failed at a worker before their word counts
 WATCH = 0.15  # seconds between looks for silent attempts
 OTHERS_LEARNT = 0.25  # weight of a new word: all dispatchers see the same, and must not all follow it at once
+HOMES_KEPT = 6  # homes of a shared part that are remembered: some may be out of reach
+PARTS_MOST = 2048  # shared parts whose homes are remembered
 SKIPPED_HEADERS = frozenset({"Accept", "Accept-Encoding", "User-Agent", "Content-Type"})
 
 
@@ -159,6 +163,7 @@
         self._rings: dict[str, list[str]] = {}
         self._seat = Seat()
         self._shares: dict[str, dict[str, Share]] = {}
+        self._homes: dict[tuple[str, str], tuple[str, ...]] = {}
         self.changed = asyncio.Event()
 
     def update(self, entries: dict[str, Entry]) -> None:
@@ -182,6 +187,7 @@
             for service, workers in self._by_service.items()
         }
         self._shares = {}
+        self._homes = {}
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -202,6 +208,16 @@
             found = self._shares[service] = shares(self.ring(service), self._seat)
         return found
 
+    def homes(self, service: str, part: str) -> tuple[str, ...]:
+        """The ready workers to which a prompt's shared part belongs most, the first home first."""
+        found = self._homes.get((service, part))
+        if found is None:
+            if len(self._homes) >= PARTS_MOST:
+                self._homes.clear()
+            found = tuple(nlargest(HOMES_KEPT, self.ring(service), lambda name: affinity(part, name)))
+            self._homes[service, part] = found
+        return found
+
     def close(self) -> None:
         """End all connections to workers: the process ends."""
         for worker in self.by_id.values():
--- /dev/null
+++ b/tests/tier/test_draw_of_many.py
@@ -0,0 +1,119 @@
+"""Draws among many workers compare a part of them, and prefer as a draw among all does."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from collections import Counter
+
+from heronstall.dataplane import draw
+from heronstall.dataplane.admission import Admission
+from heronstall.dataplane.prefixes import NOTHING, SharedPrefix, shared_prefix
+from heronstall.dataplane.subset import LEAST, Seat
+from heronstall.dataplane.workers import HOMES_KEPT, WorkerPool
+from heronstall.placement.reading import affinity
+from heronstall.transport.messages import Worker
+
+SERVICE = "s"
+PLACES = 12
+MANY = 200
+DRAWS = 4000
+SPREAD = 5  # standard deviations of a share of so many draws
+
+
+class Draws(unittest.TestCase):
+    def setUp(self) -> None:
+        self.pool = WorkerPool()
+        self.now = 100.0
+        self.admission = Admission(self.pool, random.Random(5), "z", lambda: self.now)
+
+    def workers(self, count: int, seat: Seat | None = None) -> None:
+        names = [f"i-{k:05d}" for k in range(count)]
+        self.pool.update({n: Worker(id=n, service=SERVICE, state="ready", capacity=PLACES) for n in names})
+        self.pool.seat = seat or Seat()
+
+    def drawn(self, prefix: SharedPrefix = NOTHING, times: int = DRAWS) -> Counter[str]:
+        found: Counter[str] = Counter()
+        for _ in range(times):
+            worker = self.admission.pick(SERVICE, prefix, set())
+            assert worker is not None
+            found[worker.entry.id] += 1
+        return found
+
+    def shares_by_load(self, found: Counter[str]) -> dict[float, float]:
+        shares: Counter[float] = Counter()
+        for name, count in found.items():
+            shares[self.pool.by_id[name].others_live] += count
+        return {load: count / found.total() for load, count in shares.items()}
+
+    def test_workers_are_drawn_by_their_load_as_among_all(self) -> None:
+        self.workers(MANY)
+        for number, worker in enumerate(self.pool.by_id.values()):
+            worker.others_live = (0.0, 4.0, 8.0, 11.0)[number % 4]
+        of_a_part = self.shares_by_load(self.drawn())
+        former, draw.ALL_OF = draw.ALL_OF, MANY
+        self.addCleanup(setattr, draw, "ALL_OF", former)
+        of_all = self.shares_by_load(self.drawn())
+        draw.ALL_OF = former
+        deviation = (0.25 / DRAWS) ** 0.5  # of a share, at the most
+        for load, share in of_all.items():
+            self.assertLess(abs(of_a_part[load] - share), 2**0.5 * SPREAD * deviation, (of_all, of_a_part))
+
+    def test_every_worker_may_be_drawn(self) -> None:
+        self.workers(MANY)
+        self.assertEqual(len(self.drawn(times=60 * MANY)), MANY)
+
+    def test_a_dispatchers_own_workers_are_always_among_the_compared(self) -> None:
+        self.workers(MANY, Seat(3, 100))
+        found = self.drawn(times=600)
+        own = [name for name, _ in found.most_common(LEAST)]
+        weight = LEAST * draw.PREFERRED / (LEAST * draw.PREFERRED + 1)  # theirs beside that of all the others
+        deviation = (weight * (1 - weight) / 600) ** 0.5
+        self.assertGreater(sum(found[name] for name in own) / 600, weight - SPREAD * deviation)
+
+    def test_a_large_prompt_finds_its_home(self) -> None:
+        self.workers(MANY)
+        prefix = shared_prefix("5c1e07a2:13000,e4402b7d:250")
+        home = max(self.pool.by_id, key=lambda name: affinity(prefix.part, name))
+        self.assertGreater(self.drawn(prefix, 300)[home], 240)
+        self.assertEqual(self.admission.home_rank(self.pool.by_id[home], prefix), 0)
+        last = min(self.pool.by_id, key=lambda name: affinity(prefix.part, name))
+        self.assertEqual(self.admission.home_rank(self.pool.by_id[last], prefix), HOMES_KEPT)
+        self.assertIsNone(self.admission.home_rank(self.pool.by_id[home], NOTHING))
+
+    def test_homes_follow_the_registry(self) -> None:
+        self.workers(MANY)
+        prefix = shared_prefix("5c1e07a2:13000,e4402b7d:250")
+        first = self.pool.homes(SERVICE, prefix.part)[0]
+        entries = {name: worker.entry for name, worker in self.pool.by_id.items() if name != first}
+        self.pool.update(entries)
+        self.assertNotIn(first, self.pool.homes(SERVICE, prefix.part))
+
+    def test_the_one_sound_worker_is_found_however_many_there_are(self) -> None:
+        self.workers(MANY)
+        for worker in self.pool.by_id.values():
+            worker.avoid_until = self.now + 1
+        sound = self.pool.by_id["i-00123"]
+        sound.avoid_until = 0.0
+        self.assertEqual(set(self.drawn(times=20)), {"i-00123"})
+
+    def test_an_item_finds_the_worker_that_takes_one(self) -> None:
+        self.workers(MANY, Seat(1, 1))
+        for worker in self.pool.by_id.values():
+            worker.others_live = 2.0 * PLACES
+        self.pool.by_id["i-00077"].others_live = 0.0
+        picked = self.admission.pick(SERVICE, NOTHING, set(), for_item=True)
+        assert picked is not None
+        self.assertEqual(picked.entry.id, "i-00077")
+
+    def test_a_worker_that_is_named_is_usable_only_where_it_is_sound(self) -> None:
+        self.workers(MANY)
+        self.assertIsNotNone(self.admission.usable("i-00010", SERVICE))
+        self.assertIsNone(self.admission.usable("i-00010", "other"))
+        self.assertIsNone(self.admission.usable("i-99999", SERVICE))
+        self.pool.by_id["i-00010"].avoid_until = self.now + 1
+        self.assertIsNone(self.admission.usable("i-00010", SERVICE))
+
+
+if __name__ == "__main__":
+    unittest.main()
