--- a/tests/tier/test_soak.py
+++ b/tests/tier/test_soak.py
@@ -35,6 +35,27 @@
                 self.assertEqual(self.broken(ended(end), runs), "")
         self.assertEqual(self.broken(ended(End.CUT, TIME_OUT), 1), "")
 
+    def test_what_a_killed_dispatcher_had_in_hand_may_end_in_any_way(self) -> None:
+        for end in (End.CUT, End.SILENT, End.CLOSED):
+            with self.subTest(end=end):
+                cut = Ended("c-1", HOST, end, "", 0.5, at=100.0)
+                for killed_at, edge, broken in (
+                    (99.8, HOST, False),  # while it had the request
+                    (99.2, HOST, True),  # before
+                    (100.2, HOST, True),  # after
+                    (99.8, "127.93.17.5", True),  # another one
+                ):
+                    judge = Judge()
+                    judge.killed(edge, killed_at)
+                    judge.take(cut)
+                    self.assertEqual(bool(judge.broken({"c-1": 1})), broken, (killed_at, edge))
+
+    def test_a_kill_excuses_no_refusal_of_what_ran(self) -> None:
+        judge = Judge()
+        judge.killed(HOST, 99.8)
+        judge.take(Ended("c-1", HOST, End.REFUSED, "", 0.5, at=100.0))
+        self.assertTrue(judge.broken({"c-1": 1}))
+
     def test_what_breaks_a_promise(self) -> None:
         for end, runs, why in (
             (ended(End.CUT), 1, "its answer was cut"),
