--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -6,7 +6,7 @@
 `play` makes a worktree of the present revision for each mechanism of `ablations.toml` below FOLDER, applies
 its edits there, plays the days and copies the entries that the bench wrote to this journal; their reason
 names the mechanism. `table` pairs these entries with the days played with everything on: the mean difference
-and its interval by mechanism and site.
+and its interval by mechanism and site, apart for plays that were charged no processor time (`--no-cpu`).
 """
 
 from __future__ import annotations
@@ -24,7 +24,16 @@
 
 import numpy as np
 
-from benchmarks.paired_days import DayPlay, DayToPlay, interval, journal, plays, worktree
+from benchmarks.paired_days import (
+    ONE_CORE,
+    UNCHARGED,
+    DayPlay,
+    DayToPlay,
+    interval,
+    journal,
+    plays,
+    worktree,
+)
 
 MECHANISMS = Path(__file__).with_name("ablations.toml")
 REASON = "ablation of"
@@ -101,8 +110,16 @@
     return f"{REASON} {name}: {day.day} seed {day.seed}"
 
 
-def play(bench: Path, folder: Path, names: Sequence[str], days: Sequence[DayToPlay], at_once: int) -> None:
+def play(
+    bench: Path,
+    folder: Path,
+    names: Sequence[str],
+    days: Sequence[DayToPlay],
+    at_once: int,
+    charged: bool = True,
+) -> None:
     """Play each day with everything on and without each mechanism, some at a time."""
+    options = ONE_CORE if charged else (*ONE_CORE, UNCHARGED)
     command = ["git", "rev-parse", "HEAD"]
     revision = subprocess.run(command, check=True, capture_output=True, text=True).stdout.strip()
     trees = {m.name: tree_without(folder, revision, m) for m in chosen(names)}
@@ -110,7 +127,7 @@
         subprocess.run([str(bench), "build"], cwd=tree, check=True, stdout=subprocess.DEVNULL)
     with ThreadPoolExecutor(at_once) as pool:
         runs = [
-            pool.submit(day.run, bench, tree, reason(name, day), "--jobs", "1", quiet=True)
+            pool.submit(day.run, bench, tree, reason(name, day), *options, quiet=True)
             for day in days
             for name, tree in trees.items()
         ]
@@ -128,12 +145,13 @@
 def differences(found: Iterable[AblatedDay]) -> dict[tuple[str, str], list[float]]:
     """By mechanism and site: scores without it less those of the same days with everything on."""
     days = list(found)
-    whole = {(d.play.revision, d.play.key): d.play.score for d in days if d.mechanism == NOTHING}
+    whole = {(d.play.revision, d.play.conditions): d.play.score for d in days if d.mechanism == NOTHING}
     result: defaultdict[tuple[str, str], list[float]] = defaultdict(list)
     for d in days:
-        base = whole.get((d.play.revision, d.play.key))
+        base = whole.get((d.play.revision, d.play.conditions))
         if d.mechanism != NOTHING and base is not None:
-            result[d.mechanism, d.play.site].append(d.play.score - base)
+            site = d.play.site if d.play.charged else f"{d.play.site}, uncharged"
+            result[d.mechanism, site].append(d.play.score - base)
     return dict(result)
 
 
@@ -165,12 +183,14 @@
     playing.add_argument("--folder", type=Path, required=True)
     playing.add_argument("--only", action="append", default=[], metavar="NAME")
     playing.add_argument("--at-once", type=int, default=6, metavar="N")
+    playing.add_argument(UNCHARGED, dest="uncharged", action="store_true", help="charge no processor time")
     playing.add_argument("days", nargs="+", type=DayToPlay.parse, metavar="SITE:DAY:SEED")
     verbs.add_parser("table")
     options = parser.parse_args(arguments)
     try:
         if options.verb == "play":
-            play(options.bench, options.folder, options.only, options.days, options.at_once)
+            charged = not options.uncharged
+            play(options.bench, options.folder, options.only, options.days, options.at_once, charged)
     except AblationError as error:
         print(error, file=sys.stderr)
         return 2
--- a/benchmarks/paired_days.py
+++ b/benchmarks/paired_days.py
@@ -4,8 +4,10 @@
     python -m benchmarks.paired_days table --a REV --b REV [--b REV ...]
 
 `play` makes a clean worktree for each revision below FOLDER, plays each day on the one and then on the other,
-and copies the entries that the bench wrote to this journal. `table` pairs the journal's plays by site, day
-and seed: one row a pair, with the parts of the score, then the mean difference and its interval by site.
+each play on one core, and copies the entries that the bench wrote to this journal. With `--no-cpu` the bench
+charges no processor time: a play then mostly repeats, so that a difference is the sources' own; the verdict
+is that of plays that are charged. `table` pairs the journal's plays by site, day, seed and charge: one row a
+pair, with the parts of the score, then the mean difference and its interval by site and charge.
 """
 
 from __future__ import annotations
@@ -25,6 +27,8 @@
 
 JOURNAL = Path("journal")
 UNFINISHED = "the run did not finish"  # what an entry says until its run has ended
+ONE_CORE = ("--jobs", "1")
+UNCHARGED = "--no-cpu"  # the bench's option for plays that are charged no processor time
 RESAMPLES = 10_000
 LEVEL = 0.95
 
@@ -66,12 +70,18 @@
     broken: bool
     entry: str
     why: str  # the reason that was given for the play
+    charged: bool = True  # for its processor time
 
     @property
     def key(self) -> tuple[str, str, int]:
-        """What two plays of a pair share."""
+        """A day of a site: what was played."""
         return self.site, self.day, self.seed
 
+    @property
+    def conditions(self) -> tuple[str, str, int, bool]:
+        """What two plays of a pair share."""
+        return *self.key, self.charged
+
 
 @dataclass(frozen=True)
 class Pair:
@@ -105,18 +115,19 @@
                 broken=bool(day["rules"] or day["fault"]),
                 entry=entry["id"],
                 why=entry.get("why") or "",
+                charged=UNCHARGED not in (entry.get("argv") or ()),
             )
 
 
 def paired(found: Iterable[DayPlay], a: str, b: Sequence[str]) -> list[Pair]:
     """Pairs of plays on revision A and on one of B, each play used once, in the order of the journal."""
-    of_a: defaultdict[tuple[str, str, int], list[DayPlay]] = defaultdict(list)
-    of_b: defaultdict[tuple[str, str, int], list[DayPlay]] = defaultdict(list)
+    of_a: defaultdict[tuple[str, str, int, bool], list[DayPlay]] = defaultdict(list)
+    of_b: defaultdict[tuple[str, str, int, bool], list[DayPlay]] = defaultdict(list)
     for play in found:
         if play.revision.startswith(a):
-            of_a[play.key].append(play)
+            of_a[play.conditions].append(play)
         elif play.revision.startswith(tuple(b)):
-            of_b[play.key].append(play)
+            of_b[play.conditions].append(play)
     return [
         Pair(one, other) for key in sorted(of_a) for one, other in zip(of_a[key], of_b[key], strict=False)
     ]
@@ -138,15 +149,20 @@
     for pair in pairs:
         a, b = pair.a, pair.b
         yield (
-            f"| {a.site} | {a.day} | {a.seed} | {_score(a)} | {_score(b)} | {pair.difference:+.3f} "
+            f"| {a.site} | {_day(a)} | {a.seed} | {_score(a)} | {_score(b)} | {pair.difference:+.3f} "
             f"| {_parts(a)} | {_parts(b)} | {a.entry}, {b.entry} |"
         )
     yield ""
-    for site in sorted({pair.a.site for pair in pairs}):
-        found = [pair.difference for pair in pairs if pair.a.site == site]
+    for site, charged in sorted({(pair.a.site, pair.a.charged) for pair in pairs}):
+        found = [pair.difference for pair in pairs if (pair.a.site, pair.a.charged) == (site, charged)]
         low, high = interval(found)
         mean = float(np.mean(found))
-        yield f"{site}: {len(found)} pairs, mean {mean:+.3f}, {LEVEL:.0%} from {low:+.3f} to {high:+.3f}"
+        named = site if charged else f"{site}, no processor time charged"
+        yield f"{named}: {len(found)} pairs, mean {mean:+.3f}, {LEVEL:.0%} from {low:+.3f} to {high:+.3f}"
+
+
+def _day(play: DayPlay) -> str:
+    return play.day if play.charged else f"{play.day}, uncharged"
 
 
 def _score(play: DayPlay) -> str:
@@ -165,12 +181,20 @@
             yield json.loads(text)
 
 
-def play(bench: Path, revisions: Sequence[str], folder: Path, days: Sequence[DayToPlay], why: str) -> None:
+def play(
+    bench: Path,
+    revisions: Sequence[str],
+    folder: Path,
+    days: Sequence[DayToPlay],
+    why: str,
+    charged: bool = True,
+) -> None:
     """Play each day on each revision in turn."""
+    options = ONE_CORE if charged else (*ONE_CORE, UNCHARGED)
     trees = [worktree(folder / f"pair-{revision}", revision) for revision in revisions]
     for day in days:
         for tree, revision in zip(trees, revisions, strict=True):
-            day.run(bench, tree, f"{why}: {day.day} seed {day.seed} on {revision}"[:119])
+            day.run(bench, tree, f"{why}: {Path(day.day).stem} seed {day.seed} on {revision}"[:119], *options)
 
 
 def take_entries(tree: Path) -> None:
@@ -200,6 +224,7 @@
     playing.add_argument("--bench", type=Path, required=True)
     playing.add_argument("--folder", type=Path, required=True)
     playing.add_argument("--why", default="pair")
+    playing.add_argument(UNCHARGED, dest="uncharged", action="store_true", help="charge no processor time")
     playing.add_argument("days", nargs="+", type=DayToPlay.parse, metavar="SITE:DAY:SEED")
     table = verbs.add_parser("table")
     for verb in (playing, table):
@@ -207,7 +232,8 @@
         verb.add_argument("--b", required=True, action="append", metavar="REV")
     options = parser.parse_args(arguments)
     if options.verb == "play":
-        play(options.bench, [options.a, *options.b], options.folder, options.days, options.why)
+        revisions = [options.a, *options.b]
+        play(options.bench, revisions, options.folder, options.days, options.why, not options.uncharged)
     pairs = paired(plays(journal()), options.a, options.b)
     if not pairs:
         print("no pair of these revisions stands in the journal", file=sys.stderr)
--- a/tests/test_paired_days.py
+++ b/tests/test_paired_days.py
@@ -50,6 +50,22 @@
     assert table[-1].startswith("n: 2 pairs, mean +0.065")
 
 
+def test_a_play_that_was_charged_no_processor_time_is_paired_with_another_such_alone() -> None:
+    free = ["site.toml", "scale-1", "--no-cpu"]
+    entries = [
+        entry("aaa1", 0.70),
+        entry("bbb1", 0.95, argv=free),
+        entry("aaa1", 0.90, argv=free),
+        entry("bbb1", 0.72, argv=["site.toml", "scale-1"]),
+    ]
+    pairs = paired(plays(entries), "aaa", ["bbb"])
+    assert [(pair.a.score, pair.b.score) for pair in pairs] == [(0.90, 0.95), (0.70, 0.72)]
+    table = list(rows(pairs))
+    assert "| n | scale-1, uncharged | 7 | 0.900 | 0.950 |" in table[2]
+    assert table[-2].startswith("n, no processor time charged: 1 pairs, mean +0.050")
+    assert table[-1].startswith("n: 1 pairs, mean +0.020")
+
+
 def test_a_broken_rule_is_shown() -> None:
     broken = entry("bbb1", 0.0)
     broken["days"][0]["rules"] = {"LOST": 1}
