--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -32,6 +32,7 @@
     interval,
     journal,
     plays,
+    present_revision,
     worktree,
 )
 
@@ -120,8 +121,7 @@
 ) -> None:
     """Play each day with everything on and without each mechanism, some at a time."""
     options = ONE_CORE if charged else (*ONE_CORE, UNCHARGED)
-    command = ["git", "rev-parse", "HEAD"]
-    revision = subprocess.run(command, check=True, capture_output=True, text=True).stdout.strip()
+    revision = present_revision()
     trees = {m.name: tree_without(folder, revision, m) for m in chosen(names)}
     for tree in trees.values():
         subprocess.run([str(bench), "build"], cwd=tree, check=True, stdout=subprocess.DEVNULL)
--- a/benchmarks/own_days.py
+++ b/benchmarks/own_days.py
@@ -27,7 +27,15 @@
 
 import tomlkit
 
-from benchmarks.paired_days import DayPlay, DayToPlay, journal, plays, worktree
+from benchmarks.paired_days import (
+    ONE_CORE,
+    DayPlay,
+    DayToPlay,
+    journal,
+    plays,
+    present_revision,
+    worktree,
+)
 
 DAYS = Path("tests/days")
 REASON = "own day"
@@ -66,8 +74,8 @@
         return cls(file, days[0]["name"], days[0]["seed"], days[0])
 
     @property
-    def sites(self) -> tuple[str, ...]:
-        """The zones whose traffic it tells, where it fits the site with these alone."""
+    def zones(self) -> tuple[str, ...]:
+        """The zones whose traffic it tells: it fits a site that has them, and no other."""
         return tuple(part["zone"] for part in self.content.get("traffic", []))
 
 
@@ -79,7 +87,7 @@
 def fits(day: OwnDay, site: Path) -> bool:
     """Whether a site has the zones whose traffic a day tells."""
     text = site.read_text(encoding="utf-8")
-    return all(zone in text for zone in day.sites)
+    return all(zone in text for zone in day.zones)
 
 
 def pair_of(one: OwnDay, other: OwnDay, seed: int) -> dict[str, Any]:
@@ -102,7 +110,7 @@
 
 def draw(days: Sequence[OwnDay], count: int, seed: int) -> Iterator[dict[str, Any]]:
     """Days with the troubles of two files each; those that bring traffic of one site are left out."""
-    able = [day for day in days if not day.sites]
+    able = [day for day in days if not day.zones]
     rng = random.Random(seed)
     for number in range(count):
         one, other = rng.sample(able, 2)
@@ -133,12 +141,6 @@
     ]
 
 
-def head() -> str:
-    """The present revision."""
-    command = ["git", "rev-parse", "HEAD"]
-    return subprocess.run(command, check=True, capture_output=True, text=True).stdout.strip()
-
-
 def of_own_days(entries: Iterable[dict[str, Any]], names: set[str], revision: str = "") -> Iterator[DayPlay]:
     """The plays of the journal whose day bears one of the names, on one revision or on any."""
     for play in plays(entries):
@@ -148,7 +150,7 @@
 
 def play(bench: Path, folder: Path, days: Sequence[OwnDay], told: argparse.Namespace) -> None:
     """Play what is left, some at a time, each in a worktree that no other play uses meanwhile."""
-    revision = head()
+    revision = present_revision()
     trees: queue.SimpleQueue[Path] = queue.SimpleQueue()
     for number in range(told.at_once):
         tree = worktree((folder / f"own-{revision[:7]}-{number}").resolve(), revision)
@@ -168,7 +170,7 @@
     """Play a day in a worktree that is free."""
     tree = trees.get()
     try:
-        day.run(bench, tree, reason(day), "--jobs", "1", quiet=True)
+        day.run(bench, tree, reason(day), *ONE_CORE, quiet=True)
     finally:
         trees.put(tree)
 
--- a/benchmarks/paired_days.py
+++ b/benchmarks/paired_days.py
@@ -209,6 +209,12 @@
             whole.rename(target)
 
 
+def present_revision() -> str:
+    """The revision that is checked out."""
+    command = ["git", "rev-parse", "HEAD"]
+    return subprocess.run(command, check=True, capture_output=True, text=True).stdout.strip()
+
+
 def worktree(tree: Path, revision: str) -> Path:
     """A worktree of a revision; one that is there already is kept as it is."""
     if not tree.exists():
