--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,6 +13,7 @@
 
 HOST, QUOTE, LOTS = "counter.example", "/quote/", "/notes/"
 ITEMS, EVENTS, PAUSE = 60, 40, 0.1  # an item runs for 4 seconds
+DOWN_S = 4.5
 
 
 def configuration(revision: int) -> dict[str, object]:
@@ -97,7 +98,13 @@
         record(f"worker {leaving} has gone dark for good, running {len(held)} items")
     dark = time.monotonic()
     seen = 0
+    back = False
     while time.monotonic() - dark < 27:
+        if TROUBLE and not back and time.monotonic() - dark > DOWN_S:
+            back = True
+            record(
+                f"it is up again as a new incarnation, {tier.start_worker('lm', events=EVENTS, pause=PAUSE)}"
+            )
         found = await tier.read(HOST, job)
         if len(found["results"]) != seen:
             seen = len(found["results"])
