Review: a script that cannot set its tier up says so

Cause: where the first configuration was not taken, a script ended with 0. Change: it ends with 2; SIGTERM to a script ends what it started.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -55,26 +55,18 @@
 async def play_round(tier: Tier, record: Record, number: int, frozen: str) -> str:
     """Remove the route, add it again while one core node stands still, and submit a job there at once."""
     base = 1 + 4 * number
-    if (
-        await tier.order(
-            "PATCH", "/-/config", {"revision": base + 2, "remove": {"routes": ["reminders"]}}, base
-        )
-        != 200
-    ):
-        return ""
+    await tier.change("PATCH", {"revision": base + 2, "remove": {"routes": ["reminders"]}}, base)
     await asyncio.sleep(4)
     if TROUBLE:
         tier.signal(frozen, signal.SIGSTOP)
     since = time.monotonic()
     change = {"revision": base + 4, "upsert": {"routes": [REMINDERS_ROUTE]}}
-    status = await tier.order("PATCH", "/-/config", change, base + 2)
+    await tier.change("PATCH", change, base + 2)
     job, names = await tier.submit(HOST, REMINDERS, ITEMS)
     submitted = time.monotonic()
     await asyncio.sleep(max(0.0, since + FREEZE_S - time.monotonic()))
     if TROUBLE:
         tier.signal(frozen, signal.SIGCONT)
-    if status != 200:
-        return ""
     while True:
         found = await tier.read(HOST, job)
         age = time.monotonic() - submitted
@@ -99,8 +91,7 @@
 async def case(tier: Tier, record: Record) -> str:
     tier.start_all()
     tier.workers = [tier.start_worker("lm", capacity=32, events=10, pause=0.05) for _ in range(3)]
-    if await tier.order("PUT", "/-/config", CONFIGURATION, 0, within=25) != 200:
-        return ""
+    await tier.change("PUT", CONFIGURATION, 0, within=25)
     await tier.ready(HOST, QUOTE)
     await asyncio.sleep(3)
     for number in range(ROUNDS):
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -64,8 +64,7 @@
 async def case(tier: Tier, record: Record) -> str:
     tier.start_all()
     workers = [tier.start_worker("lm", events=EVENTS, pause=PAUSE) for _ in range(7)]
-    if await tier.order("PUT", "/-/config", configuration(1), 0, within=25) != 200:
-        return ""
+    await tier.change("PUT", configuration(1), 0, within=25)
     await tier.ready(HOST, QUOTE)
     await asyncio.sleep(2)
     job, names = await tier.submit(HOST, LOTS, ITEMS)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
-from standins import FRONT, TROUBLE, Record, Tier, main  # noqa: E402
+from standins import FRONT, TROUBLE, CannotRun, Record, Tier, main  # noqa: E402
 
 HOST, QUOTE = "counter.example", "/quote/"
 ROUTE = {
@@ -44,12 +44,13 @@
 async def case(tier: Tier, record: Record) -> str:
     tier.start_all()
     tier.start_worker("lm", capacity=32)
-    if await tier.order("PUT", "/-/config", CONFIGURATION, 0, within=25) != 200:
-        return ""
+    await tier.change("PUT", CONFIGURATION, 0, within=25)
     await tier.ready(HOST, QUOTE)
     changed = copy.deepcopy(CONFIGURATION) | {"revision": 3}
     changed["limits"]["max_body_bytes"] = "4MB" if TROUBLE else 4000000
     status = await tier.order("PUT", "/-/config", changed, 1)
+    if not status:
+        raise CannotRun("the change gets no clear answer")
     for edge in tier.edges:  # planned: the platform stops and starts the dispatchers in turn
         tier.signal(edge, signal.SIGTERM)
         await asyncio.to_thread(tier.processes.pop(edge).wait, 10)
--- a/review/standins.py
+++ b/review/standins.py
@@ -201,6 +201,12 @@
 
     # ------------------------------------------------------------------ the operator
 
+    async def change(self, method: str, body: Any, base: int, within: float = 12) -> None:
+        """Have a configuration taken. Raises CannotRun."""
+        status = await self.order(method, "/-/config", body, base, within)
+        if status != 200:
+            raise CannotRun(f"a valid configuration is answered {status}")
+
     async def order(
         self, method: str, path: str, body: Any, base: int | None = None, within: float = 12
     ) -> int:
@@ -339,6 +345,9 @@
     record = Record(folder)
 
     async def run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)  # ends what was started
         tier = Tier(record, **getattr(case, "sizes", {}))
         try:
             async with asyncio.timeout(110):
