Review, case 2: requests of a non_idempotent route that has resumable run twice

Cause: Route.repeatable asks for the type or for resumable, which has a meaning for streams alone. Change: review/2, a script in which one worker of seven crashes while it answers requests of such a route; the worker's stand-in has plain answers for it.

--- a/review/worker.py
+++ b/review/worker.py
@@ -20,6 +20,8 @@
 
 SERVES_ON_LONGER = 6.0  # seconds after drain_ms
 LIVE_EVENTS = 3
+PLAIN = "/pickups/"  # requests below this path have a plain answer, after this many seconds of work
+PLAIN_WORK = 0.15
 
 
 class Worker:
@@ -108,6 +110,11 @@
         self.log(did="runs", id=name, path=request.path, bytes=len(body), first=first)
         outcome = "cut"
         try:
+            if request.path.startswith(PLAIN):
+                await asyncio.sleep(PLAIN_WORK)
+                outcome = "whole"
+                stamp = {"Heronstall-Response-Signature": f"sig-{name}"}
+                return web.Response(body=f"done {name}".encode(), headers=own | stamp)
             response = web.StreamResponse(
                 headers=own
                 | {"Content-Type": "text/event-stream", "Heronstall-Response-Signature": f"sig-{name}"}
