Review: records list each request and item

Cause: a record named the broken ones alone. Change: record.txt has a line for each, with its answer or state and the worker that ran it.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -74,10 +74,13 @@
             break
         await asyncio.sleep(0.5)
     given_up = [r["id"] for r in found["results"] if r["state"] == "dead_letter"]
-    ran = {r["id"] for w in tier.workers for r in tier.runs(w) if r["did"] == "runs"}
+    ran = {r["id"]: w for w in tier.workers for r in tier.runs(w) if r["did"] == "runs"}
+    states = {r["id"]: r["state"] for r in found["results"]}
+    for name in names:
+        record.detail(f"  item {name}: {states.get(name, 'not listed')}, ran at {ran.get(name, 'no worker')}")
     record(
         f"job {job}, {age:.1f} s old: {len(found['results'])} of {found['total']} listed, "
-        f"{len(given_up)} as dead_letter, of which {len(set(given_up) - ran)} never reached a worker"
+        f"{len(given_up)} as dead_letter, of which {len(set(given_up) - set(ran))} never reached a worker"
     )
     if given_up:
         return (
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -92,6 +92,8 @@
         for entry in tier.runs(worker):
             if entry["did"] == "runs" and entry["id"] in runs:
                 runs[entry["id"]].append(worker)
+    for name, at in runs.items():
+        record.detail(f"  request {name}: answered {answers[name]}, ran at {' and '.join(at) or 'no worker'}")
     twice = [name for name, at in runs.items() if len(at) > 1]
     for name in twice:
         record(f"request {name}, answered {answers[name]}, ran at {' and '.join(runs[name])}")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -113,6 +113,10 @@
         await asyncio.sleep(0.5)
     results = {r["id"]: r for r in found["results"]}
     missing = [name for name in names if name not in results]
+    ran = {r["id"]: worker for worker in workers for r in tier.runs(worker) if r["did"] == "runs"}
+    for name in names:
+        state = results[name]["state"] if name in results else "not listed"
+        record.detail(f"  item {name}: {state}, ran at {ran.get(name, 'no worker')}")
     for worker in workers:
         ran = [r for r in tier.runs(worker) if r["did"] == "runs" and r["id"] in names]
         record(
--- a/review/standins.py
+++ b/review/standins.py
@@ -64,6 +64,10 @@
     def __call__(self, text: str) -> None:
         line = f"{time.monotonic() - self._began:8.3f}  {text}"
         print(line, flush=True)
+        self.detail(line)
+
+    def detail(self, line: str) -> None:
+        """Write a line to the file alone."""
         self._file.write(line + "\n")
         self._file.flush()
 
