--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,7 +12,7 @@
 from standins import TROUBLE, Record, Tier, main  # noqa: E402
 
 HOST, QUOTE, NOTES, REMINDERS = "counter.example", "/quote/", "/notes/", "/reminders/"
-ITEMS, ROUNDS, FREEZE_S, RETENTION_S = 100, 3, 3.0, 40
+ITEMS, ROUNDS, FREEZE_S, RETENTION_S = 100, 6, 3.0, 40
 COMMON = {"hostname": HOST, "service": "lm", "session_affinity": True, "gap_aim_ms": 250}
 BATCH = {
     **COMMON,
