--- a/heronstall/dataplane/misses.py
+++ b/heronstall/dataplane/misses.py
@@ -123,6 +123,11 @@
         """Whether the item was completed after its due time, even if that had passed when it was leased."""
         return self.outcome is Outcome.DONE and time.monotonic() > self.due_at
 
+    @property
+    def missed(self) -> bool:
+        """Whether the item was late, failed at a worker, or was given up because its route is gone."""
+        return self.late or self.outcome in (Outcome.FAILED, Outcome.ROUTE_GONE)
+
 
 def miss_reason(ended: EndedRequest, now: float) -> MissReason | None:
     """Returns why a request that has just ended missed its objective, or None if it met it."""
@@ -176,8 +181,7 @@
     def record_item(self, ended: EndedItem) -> None:
         """Records a batch item whose run has ended, with or without success."""
         tally = self._count(ended.route, ended.attempts)
-        missed = ended.late or ended.outcome is Outcome.FAILED
-        if missed and self._count_miss(tally):
+        if ended.missed and self._count_miss(tally):
             _log_item(ended)
 
     def _count(self, route: str, attempts: Sequence[Attempt]) -> RouteTally:
--- a/tests/tier/test_misses.py
+++ b/tests/tier/test_misses.py
@@ -152,7 +152,7 @@
             (tally["missed"], tally["missed_size"]), (MAX_LOGGED_MISSES + 30, 900 * (MAX_LOGGED_MISSES + 30))
         )
 
-    def test_late_or_failed_item_is_a_miss(self) -> None:
+    def test_late_failed_or_abandoned_item_is_a_miss(self) -> None:
         now = time.monotonic()
 
         def run(outcome: Outcome, due: float) -> list[str]:
@@ -164,6 +164,7 @@
         self.assertEqual(run(Outcome.DONE, 1.0), [])
         self.assertEqual(run(Outcome.DONE, -0.1), ["item missed"])
         self.assertEqual(run(Outcome.FAILED, 1.0), ["item missed"])
+        self.assertEqual(run(Outcome.ROUTE_GONE, 1.0), ["item missed"])
         self.assertEqual(run(Outcome.RETURNED, -0.1), [])
 
     def test_refused_or_late_accepted_job_is_a_miss(self) -> None:
