Give a batch item up only by a configuration from after its lease

Cause: a dispatcher that did not find an item's route, but had known one of that name at any time of its life, reported it as gone. One that still waits for the frozen core node knows of the new configuration up to 0.85 s after the others. Fix: the route is gone only if the dispatcher's view contains all that was committed until it leased the item, and lacks the route. The lease follows the acceptance, so a configuration in force after the acceptance lacks it. Until then the item is held for up to 2 s, run as soon as the route appears, and returned otherwise. Comparing the revision by which the job was accepted would not do: a dispatcher two revisions behind may rightly accept by the one before the removal. Related paths: a dispatcher that started after the removal returned such items until their retention ended; it decides now too. The 404 to an unknown route had its bound on the age of the view already.

--- a/heronstall/dataplane/batch_runner.py
+++ b/heronstall/dataplane/batch_runner.py
@@ -53,7 +53,9 @@
 SLOT_GATHER_S = 0.45
 OWNER_STALE_S = 1.5  # without a reply of the owner, after which no item is started
 EXPECTED_RUN_TIME_S = 1.5  # approximate run time of an item
-UNKNOWN_ROUTE_DELAY_S = 0.2  # before an item of a route that this dispatcher never knew is returned
+# For which an item without a route is held until the view shows that the route is gone. A view that is pulled
+# normally shows it in time: it may be stale by MAX_STATE_STALENESS, and two held pulls may pass.
+ROUTE_DECISION_TIMEOUT_S = 2.0
 RANK_IN_TIME, RANK_LATE = 0, 1  # ranks in the deferred queue
 REPORT_TIMEOUT_S = 2.0  # of one call that reports results
 FINISH_POLL_INTERVAL_S = 0.02  # between checks for unfinished items during shutdown
@@ -87,12 +89,16 @@
         deferred: DeferredQueue,
         routes: Callable[[], Routes],
         misses: MissLog | None = None,
+        view_complete_until: Callable[[], float] = lambda: float("-inf"),
     ) -> None:
+        """`view_complete_until` tells the time until which `routes` contains all committed changes."""
         self.holder = f"{name}/{secrets.token_hex(4)}"
         self.stopping = False
         self._shards, self._admission, self._routes = shards, admission, routes
         self._deferred = deferred
         self._misses = misses or MissLog()
+        self._view_complete_until = view_complete_until
+        self._view_updated = asyncio.Event()  # set when the view is updated, then replaced by a new event
         self._running: dict[tuple[str, str], RunningItem] = {}
         self._reports: dict[str, list[ItemReport]] = {}
         self._sent_reports: dict[str, list[ItemReport]] = {}  # in flight, by shard
@@ -102,7 +108,6 @@
         self._polled_at: dict[str, float] = {}
         self._lease_limits: dict[str, int] = {}  # most items to request in one call, by shard
         self._slot_freed = asyncio.Event()  # set when a slot is freed, then replaced by a new event
-        self._known_routes: set[str] = set()  # names in all configurations that this process has had
 
     @property
     def running_count(self) -> int:
@@ -117,11 +122,15 @@
     def update_pollers(self) -> None:
         """Starts polling the shards of all hosts that have batch routes."""
         routes = self._routes()
-        self._known_routes |= {r.name for h in routes.batch_hosts() for r in routes.by_host[h]}
         wanted = {batch_shard(host) for host in routes.batch_hosts()}
         for shard in wanted - set(self._pollers):
             self._pollers[shard] = asyncio.create_task(self._poll(shard))
 
+    def announce_view_update(self) -> None:
+        """Wakes the items that wait for a newer view of the control state."""
+        self._view_updated.set()
+        self._view_updated = asyncio.Event()
+
     async def send_reports(self) -> None:
         """Sends reports until cancelled."""
         while True:
@@ -312,12 +321,9 @@
         tried: set[str] = set()
         pause = 0.05
         while not self.stopping or item.event_data:
-            route = self._routes().find(item.leased.host, item.request.path)
-            if route is None or route.type is not RouteType.BATCH:
-                if item.leased.route in self._known_routes:
-                    return Outcome.ROUTE_GONE
-                await asyncio.sleep(UNKNOWN_ROUTE_DELAY_S)  # the route may be newer than this configuration
-                return Outcome.RETURNED
+            route = await self._find_route(item)
+            if isinstance(route, Outcome):
+                return route
             owner_is_reachable = time.monotonic() - self._polled_at.get(item.shard, 0.0) < OWNER_STALE_S
             service = self._admission.choose_service(route)
             prefix = _prefix(item.request)
@@ -335,6 +341,25 @@
             tried.add(worker.entry.id)
         return Outcome.RETURNED
 
+    async def _find_route(self, item: RunningItem) -> Route | Outcome:
+        """Returns the route of an item, or its outcome without one.
+
+        The job may have been accepted by a configuration that has not reached this dispatcher yet. Its route
+        is gone only if a configuration in force after the lease, and so after the acceptance, lacks it.
+        """
+        deadline = time.monotonic() + ROUTE_DECISION_TIMEOUT_S
+        while True:
+            updated = self._view_updated
+            route = self._routes().find(item.leased.host, item.request.path)
+            if route is not None and route.type is RouteType.BATCH:
+                return route
+            if self._view_complete_until() >= item.leased_at:
+                return Outcome.ROUTE_GONE
+            remaining = deadline - time.monotonic()
+            if remaining <= 0:
+                return Outcome.RETURNED
+            await wait_at_most(updated, remaining)
+
     async def _attempt(self, item: RunningItem, worker: WorkerState) -> Outcome | None:
         """Makes one attempt at one worker. Returns None if another attempt may continue after it."""
         admission = self._admission
--- a/heronstall/dataplane/node.py
+++ b/heronstall/dataplane/node.py
@@ -22,7 +22,7 @@
 from heronstall.dataplane.shard_client import ShardClient
 from heronstall.dataplane.subset import DispatcherPosition
 from heronstall.dataplane.workers import WorkerPool
-from heronstall.distribution.freshness import StalenessLimits
+from heronstall.distribution.freshness import StalenessLimits, complete_until
 from heronstall.distribution.view import ControlStateView
 from heronstall.sessions.loads import pack_loads
 from heronstall.transport.http_server import HttpServer
@@ -53,7 +53,13 @@
         self.deferred = DeferredQueue(self.admission.utilisation)
         self.misses = MissLog()
         self.runner = BatchRunner(
-            settings.name, shards, self.admission, self.deferred, lambda: self.ingress.routes, self.misses
+            settings.name,
+            shards,
+            self.admission,
+            self.deferred,
+            lambda: self.ingress.routes,
+            self.misses,
+            lambda: complete_until(self.puller.current_as_of),
         )
         forwarder = Forwarder(
             self.pool,
@@ -158,6 +164,7 @@
     def _apply_reply(self) -> None:
         self.pool.position = DispatcherPosition(self.view.dispatcher_rank, self.view.dispatcher_count)
         self.pool.update_peer_loads(self.view.loads)
+        self.runner.announce_view_update()
 
     def _apply_changes(self, changed: set[str]) -> None:
         if "config" in changed:
--- a/heronstall/distribution/freshness.py
+++ b/heronstall/distribution/freshness.py
@@ -14,6 +14,15 @@
 DECISION_MARGIN = 0.2  # seconds between a decision based on the view and its effect
 
 
+def complete_until(current_as_of: float) -> float:
+    """Returns the time until which all committed changes are contained in a view.
+
+    `current_as_of` is when the call was sent whose reply updated the view. Both times are in seconds on this
+    node's clock.
+    """
+    return current_as_of - MAX_STATE_STALENESS
+
+
 @dataclass(frozen=True)
 class StalenessLimits:
     """Ages of the known configuration, in seconds, from which a dispatcher answers 503.
