End silent attempts also at workers that have left the registry

Cause: the check for silence went through the registered workers alone, and update() drops a worker from these though attempts are in progress there. An item's attempt has no deadline, so nothing ended it, and the dispatcher told the owner in each call that it holds the item. Fix: the pool keeps deregistered workers until their last attempt has ended and checks them like the others. They are in no list from which a worker is chosen, so nothing new is sent there.

--- a/heronstall/dataplane/workers.py
+++ b/heronstall/dataplane/workers.py
@@ -161,10 +161,11 @@
 
 
 class WorkerPool:
-    """All registered workers, by service."""
+    """All registered workers, by service, and the deregistered ones that still run requests or items."""
 
     def __init__(self) -> None:
         self.by_id: dict[str, WorkerState] = {}
+        self._deregistered: list[WorkerState] = []  # those with attempts in progress
         self._by_service: dict[str, list[WorkerState]] = {}
         self._rings: dict[str, list[str]] = {}
         self._position = DispatcherPosition()
@@ -177,7 +178,9 @@
         for worker in [w for name, w in self.by_id.items() if name not in entries]:
             del self.by_id[worker.entry.id]
             worker.entry.state = "gone"
-            if not worker.inflight:
+            if worker.inflight:
+                self._deregistered.append(worker)
+            else:
                 worker.close()
         for name, entry in entries.items():
             known = self.by_id.get(name)
@@ -228,15 +231,19 @@
 
     def close(self) -> None:
         """Closes all connections to workers when the process ends."""
-        for worker in self.by_id.values():
+        for worker in (*self.by_id.values(), *self._deregistered):
             worker.close()
 
     async def end_silent_attempts(self) -> None:
-        """Ends silent attempts periodically until cancelled."""
+        """Ends silent attempts periodically until cancelled.
+
+        A worker may fall silent after it has left the registry: some deregister first and serve on.
+        """
         while True:
             await asyncio.sleep(SILENCE_CHECK_INTERVAL_S)
             now = time.monotonic()
-            for worker in self.by_id.values():
+            self._deregistered = [worker for worker in self._deregistered if worker.inflight]
+            for worker in (*self.by_id.values(), *self._deregistered):
                 if worker.attempts.active:
                     worker.attempts.end_silent(now)
 
