Let resumable make streams repeatable and nothing else

Cause: Route.repeatable was true for a route of any type that has resumable. The property allows another attempt after one that may have run, and lets silence end an attempt early. Fix: Route.resumes_streams weighs flag and type in one place; repeatable is the type idempotent, or that. The two places in forwarding.py that tested the flag use it too. These three are all reads of the flag in heronstall/. Related paths: a route_type that is not known counts as non_idempotent and was repeated with resumable as well. The loop over the ends is shared with the test without the flag.

--- a/heronstall/dataplane/forwarding.py
+++ b/heronstall/dataplane/forwarding.py
@@ -322,9 +322,7 @@
         if not is_framed(upstream):
             raise ForwardingError(AttemptEnd.NO_LENGTH)
         self._admission.record_response(worker, upstream.status)
-        forwards_events = (
-            context.route.type is RouteType.STREAMING and context.route.resumable and upstream.status == 200
-        )
+        forwards_events = context.route.resumes_streams and upstream.status == 200
         if context.response is not None and upstream.status != 200:
             raise ForwardingError(AttemptEnd.FAILED_RESUMPTION)
         if forwards_events:
@@ -351,7 +349,7 @@
     ) -> web.StreamResponse:
         if context.response is None:
             context.response = ForwardedResponse(upstream.status, upstream.reason, response_headers(upstream))
-            if upstream.content_length is not None and not context.route.resumable:
+            if upstream.content_length is not None and not context.route.resumes_streams:
                 context.response.content_length = upstream.content_length
             else:
                 context.response.enable_chunked_encoding()
--- a/heronstall/dataplane/routing.py
+++ b/heronstall/dataplane/routing.py
@@ -35,16 +35,24 @@
     target_latency: float
     priority: int
     max_attempts: int
-    resumable: bool
+    resumable: bool  # as configured; `resumes_streams` tells whether it has an effect
     target_event_gap: float
     completion_target: float
     retention: float
     max_queued_tokens: int
 
+    @property
+    def resumes_streams(self) -> bool:
+        """Whether a stream of this route may be continued at another worker.
+
+        The configuration may have `resumable` on a route of any type; it concerns streams alone.
+        """
+        return self.type is RouteType.STREAMING and self.resumable
+
     @property
     def repeatable(self) -> bool:
         """Whether a request of this route may run more than once."""
-        return self.type is RouteType.IDEMPOTENT or self.resumable
+        return self.type is RouteType.IDEMPOTENT or self.resumes_streams
 
     def draw_service(self, rng: random.Random) -> str:
         """Returns a service drawn by the route's traffic weights."""
--- a/tests/tier/test_attempt_ends.py
+++ b/tests/tier/test_attempt_ends.py
@@ -192,8 +192,15 @@
     def pick(self, service: str, prefix: object, tried: set[str]) -> WorkerState | None:
         return next((w for name, w in sorted(self.pool.by_id.items()) if name not in tried), None)
 
-    def context(self, kind: RouteType, deadline: float = DEADLINE, attempts: int = 2) -> RequestContext:
-        resumable = kind is RouteType.STREAMING
+    def context(
+        self,
+        kind: RouteType,
+        deadline: float = DEADLINE,
+        attempts: int = 2,
+        resumable: bool | None = None,
+    ) -> RequestContext:
+        """Returns a request of a route of this kind; `resumable` is set on streaming ones by default."""
+        resumable = kind is RouteType.STREAMING if resumable is None else resumable
         route = Route(
             "r", "h", "/", kind, (("lm", 1.0),), 5.0, 0.5, 1, attempts, resumable, 0.25, 8.0, 60.0, 0
         )
@@ -227,20 +234,42 @@
 
 
 class AllEnds(SocketCase):
-    async def row_status(self, row: Row, kind: RouteType) -> tuple[int, int]:
+    async def row_status(self, row: Row, kind: RouteType, resumable: bool | None = None) -> tuple[int, int]:
         """Returns the client's status and the number of requests that reached the second worker."""
         _, second = await self.workers(row.behaviour, Behaviour(GOOD, stay=True))
-        status = await self.client_status(self.context(kind, row.deadline))
+        status = await self.client_status(self.context(kind, row.deadline, resumable=resumable))
         return status, second.requests
 
-    async def test_without_repeats_another_attempt_follows_only_a_proof_of_non_execution(self) -> None:
+    async def assert_only_proofs_are_followed(self, resumable: bool) -> None:
+        """Asserts that a non-idempotent request is sent again only after a proof that it was not executed."""
         for row in ROWS:
             if row.resumed:
                 continue
             with self.subTest(row.name, end=row.end):
-                status, again = await self.row_status(row, RouteType.NON_IDEMPOTENT)
+                status, again = await self.row_status(row, RouteType.NON_IDEMPOTENT, resumable)
                 self.assertEqual((status, again), (row.status, int(END_RULES[row.end].not_run)))
 
+    async def test_without_repeats_another_attempt_follows_only_a_proof_of_non_execution(self) -> None:
+        await self.assert_only_proofs_are_followed(resumable=False)
+
+    async def test_a_non_idempotent_request_is_not_repeated_though_its_route_has_resumable(self) -> None:
+        """Guards against a second run where a resumable streaming route was turned into such a one."""
+        await self.assert_only_proofs_are_followed(resumable=True)
+
+    async def test_a_silent_worker_ends_no_non_idempotent_request_though_its_route_has_resumable(
+        self,
+    ) -> None:
+        """Guards against the same second run at a worker that is merely slow to answer."""
+        first, second = await self.workers(Behaviour(stay=True), Behaviour(GOOD, stay=True))
+        context = self.context(RouteType.NON_IDEMPOTENT, resumable=True)
+        sending = asyncio.create_task(self.client_status(context))
+        async with asyncio.timeout(DEADLINE):
+            while not first.requests:
+                await asyncio.sleep(0)
+        self.assertEqual(self.pool.by_id["w1"].attempts.end_silent(time.monotonic() + DEADLINE), 0)
+        first.writers[0].write(GOOD)
+        self.assertEqual((await sending, second.requests), (200, 0))
+
     async def test_with_repeats_another_attempt_follows_every_end(self) -> None:
         for row in ROWS:
             if row.resumed or row.end is AttemptEnd.TIMED_OUT:
--- a/tests/tier/test_dataplane.py
+++ b/tests/tier/test_dataplane.py
@@ -47,7 +47,8 @@
 )
 
 
-def sample_routes() -> Routes:
+def sample_routes(fields: dict[str, object] | None = None) -> Routes:
+    """Returns routes of each kind; all of them have these fields too."""
     entries: list[dict[str, object]] = [
         {"name": "a", "hostname": "H.example", "path_prefix": "/a/", "route_type": "streaming"},
         {"name": "ab", "hostname": "h.example", "path_prefix": "/a/b/", "route_type": "idempotent"},
@@ -60,7 +61,12 @@
         },
         {"name": "slow", "hostname": "h.example", "path_prefix": "/slow/", "target_latency_ms": 900},
     ]
-    common: dict[str, object] = {"timeout_ms": 1000, "service": "s", "target_latency_ms": 200}
+    common: dict[str, object] = {
+        "timeout_ms": 1000,
+        "service": "s",
+        "target_latency_ms": 200,
+        **(fields or {}),
+    }
     document = {"revision": 3, "routes": [{**common, **e} for e in entries], "services": [{"name": "s"}]}
     return parse_routes(ujson.dumps(document).encode())
 
@@ -86,6 +92,12 @@
         self.assertIs(by_name["slow"].type, RouteType.NON_IDEMPOTENT)
         self.assertFalse(by_name["slow"].repeatable)
 
+    def test_resumable_makes_streams_repeatable_and_nothing_else(self) -> None:
+        """Guards against a non_idempotent request that runs twice on a route that also has `resumable`."""
+        found = {r.name: r for r in sample_routes({"resumable": True}).by_host["h.example"]}
+        self.assertEqual({n for n, r in found.items() if r.repeatable}, {"a", "ab"})
+        self.assertEqual({n for n, r in found.items() if r.resumes_streams}, {"a"})
+
     def test_route_with_target_latency_well_above_the_shortest_is_deferrable(self) -> None:
         found = sample_routes()
         by_name = {r.name: r for r in found.by_host["h.example"]}
