tests: split the data plane's tests by the module that they test

Cause: test_dataplane.py had grown to 764 lines over nine modules. Change: routes, the deferred queue, the batch runner and subsets have files of their own; the pages that name the old file follow.

--- a/tests/tier/test_known_configuration.py
+++ b/tests/tier/test_known_configuration.py
@@ -11,7 +11,7 @@
 from heronstall.dataplane.ingress import CONFIGURATION_WAIT_S, Ingress
 from heronstall.dataplane.routing import Routes
 from heronstall.distribution.freshness import StalenessLimits
-from tests.tier.test_dataplane import sample_routes
+from tests.tier.test_routing import sample_routes
 
 LIMITS = StalenessLimits(unknown_route_limit=1.2, service_limit=6.2)
 
