audit: requests that reach a killed dispatcher until its process is gone are lost to it

No caller of a service saw anything: the check was wrong, not the dispatcher.

Cause: the lab noted a killed dispatcher's end when it sent SIGKILL.

Change: the lab notes both times, the audit takes the time at which the process was reaped. A killed dispatcher "loses all of its requests", as the audit says already; nothing later than its end is excused, which a case of the test holds. The simulated model kills at once and stays as it was.

Related paths: the soak of the tier waits for a killed process in the thread that runs its clients, so no request can come in between.

--- a/heronstall/fleet/audit.py
+++ b/heronstall/fleet/audit.py
@@ -215,7 +215,7 @@
 
     def _excused(self, session: _Session, at: int) -> bool:
         for down in self._dispatcher_stops.get(session.node, []):
-            if down.at + self._slack < session.taken:
+            if down.gone_at + self._slack < session.taken:
                 continue
             if down.asked_at is None:
                 return True
--- a/heronstall/fleet/boundary.py
+++ b/heronstall/fleet/boundary.py
@@ -21,13 +21,20 @@
 class NodeDown(NamedTuple):
     """A dispatcher ended. `asked_at`: the time of its SIGTERM; None: it was killed or crashed.
 
-    `crashed`: it ended by itself without having been asked to.
+    `crashed`: it ended by itself without having been asked to. `reaped_at`: when the process of a killed
+    dispatcher was gone; until then its machine may still accept requests for it. None: at once.
     """
 
     at: int
     node: int
     asked_at: int | None = None
     crashed: bool = False
+    reaped_at: int | None = None
+
+    @property
+    def gone_at(self) -> int:
+        """The time from which its machine accepts nothing for it, in microseconds."""
+        return self.at if self.reaped_at is None else self.reaped_at
 
 
 class Taken(NamedTuple):
--- a/heronstall/lab/nodes.py
+++ b/heronstall/lab/nodes.py
@@ -68,7 +68,7 @@
     discovery: str
     process: asyncio.subprocess.Process | None = None
     asked_at: int | None = None
-    killed: bool = False
+    killed_at: int | None = None
     usage: Usage = field(default_factory=Usage)
 
 
@@ -142,7 +142,7 @@
             node.process = await asyncio.create_subprocess_exec(
                 *self.program(node), stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log, env=environ
             )
-        node.asked_at, node.killed = None, False
+        node.asked_at, node.killed_at = None, None
         node.usage.lives += 1
         self.crossings.append(b.NodeUp(self._time.now, node.number))
         task = asyncio.get_running_loop().create_task(self._wait(node, node.process))
@@ -151,9 +151,13 @@
 
     async def _wait(self, node: Node, process: asyncio.subprocess.Process) -> None:
         code = await process.wait()
-        crashed = not node.killed and (node.asked_at is None or code != 0)
-        if not node.killed:
-            self.crossings.append(b.NodeDown(self._time.now, node.number, node.asked_at, crashed))
+        now = self._time.now
+        if node.killed_at is None:
+            crashed = node.asked_at is None or code != 0
+            down = b.NodeDown(now, node.number, node.asked_at, crashed)
+        else:
+            down = b.NodeDown(node.killed_at, node.number, node.asked_at, reaped_at=now)
+        self.crossings.append(down)
         if node.process is process:
             node.process = None
 
@@ -197,10 +201,9 @@
 
     def kill(self, node: Node) -> None:
         """Kill it outright."""
-        if node.process is not None and not node.killed:
+        if node.process is not None and node.killed_at is None:
             self._measure(node)
-            node.killed = True
-            self.crossings.append(b.NodeDown(self._time.now, node.number, node.asked_at))
+            node.killed_at = self._time.now
             node.process.kill()
 
     def ask(self, node: Node) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -421,6 +421,15 @@
     assert broken_rules(b.NodeDown(2 * SECOND, 0, None, crashed=True), gone) == ["crash"]
 
 
+def test_audit_excuses_requests_that_reach_a_killed_dispatcher_until_it_is_gone() -> None:
+    """Guards against lost requests reported at a dispatcher whose killed process took long to end."""
+    gone = b.Unanswered(2 * MS, 0, "r")  # taken at 0
+    assert broken_rules(b.NodeDown(-80 * MS, 0, reaped_at=MS), gone) == []
+    assert broken_rules(b.NodeDown(-80 * MS, 0, asked_at=-20 * SECOND, reaped_at=MS), gone) == []
+    assert broken_rules(b.NodeDown(-80 * MS, 0, reaped_at=-MS), gone) == ["one-answer"]
+    assert broken_rules(b.NodeDown(-80 * MS, 0), gone) == ["one-answer"]
+
+
 def test_audit_reports_concurrent_attempts_repeats_and_wrong_refusals() -> None:
     refused = b.Answered(SECOND, 0, "r", 503)
     assert broken_rules(*attempted(1, 0, 0, "rejected"), *attempted(9, 1, 1, "done"), FINE) == []
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -16,11 +16,14 @@
 import pytest
 
 from heronstall.cli.common import Missed, judge
+from heronstall.fleet import boundary as b
+from heronstall.fleet.fleet import Plan
 from heronstall.fleet.spec import ScenarioError
 from heronstall.lab import run as lab_run
 from heronstall.lab.clock import RealTime, monotonic
 from heronstall.lab.connection import ServerConnection
 from heronstall.lab.listener import Listener
+from heronstall.lab.nodes import Nodes
 from tests.scenarios import BASE, FAULTS, RATE, small_scenario
 
 QUICK = "arrivals: rate_per_s: 20\n"
@@ -96,6 +99,28 @@
         judge([record], None)
 
 
+def test_a_killed_dispatcher_counts_as_ending_until_its_process_is_gone(tmp_path: Path) -> None:
+    """Guards against lost requests reported at a dispatcher whose killed process took long to end."""
+
+    async def story() -> list[b.NodeDown]:
+        time, ended = RealTime(), asyncio.Event()
+        time.begin(monotonic())
+        process = mock.Mock(pid=0, wait=mock.AsyncMock(side_effect=ended.wait))
+        plan = Plan(small_scenario("", QUICK), 1)
+        nodes = Nodes(plan, time, tmp_path, ["127.0.0.1:1"] * plan.scenario.dispatchers)
+        with mock.patch("asyncio.create_subprocess_exec", mock.AsyncMock(return_value=process)):
+            await nodes.start(nodes.all[0], None)
+        nodes.kill(nodes.all[0])
+        await asyncio.sleep(0.1)
+        ended.set()
+        await nodes.gone(nodes.all[0])
+        return [c for c in nodes.crossings if isinstance(c, b.NodeDown)]
+
+    (down,) = asyncio.run(story())
+    assert down.asked_at is None and not down.crashed
+    assert down.gone_at - down.at >= 100_000
+
+
 def test_a_listener_refuses_says_nothing_and_comes_back_on_the_same_port() -> None:
     async def story() -> None:
         accepted: list[socket.socket] = []
