--- a/heronstall/batch/jobs.py
+++ b/heronstall/batch/jobs.py
@@ -102,16 +102,23 @@
 
 
 class BatchShard:
-    """The state machine of a batch shard."""
+    """The state machine of a batch shard.
+
+    Both clocks return seconds; the steady one is the clock of `Job.accepted_at`. The default is the
+    `time` module's at the time of construction.
+    """
 
     def __init__(
-        self, steady_clock: Callable[[], float] = time.monotonic, wall_clock: Callable[[], float] = time.time
+        self,
+        steady_clock: Callable[[], float] | None = None,
+        wall_clock: Callable[[], float] | None = None,
     ) -> None:
         self.jobs: dict[str, Job] = {}
         self.waiting_tokens: Counter[str] = Counter()  # by route
         self.memory_bytes = 0  # approximate size of items and result texts
         self.listener = JobListener()
-        self._steady_clock, self._wall_clock = steady_clock, wall_clock
+        self._steady_clock = steady_clock or time.monotonic
+        self._wall_clock = wall_clock or time.time
 
     def apply(self, index: int, data: bytes) -> bool:
         """Applies a command and returns whether it changed anything."""
--- a/tests/tier/test_batch.py
+++ b/tests/tier/test_batch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from unittest import mock
 
 from heronstall.batch import jobs as batch
 from heronstall.batch.items import encode_with_items, set_items, set_stored_items, stored_items
@@ -83,6 +84,16 @@
         self.assertFalse(self.apply(batch.encode_accept(job("a"))))
         self.assertEqual(self.shard.waiting_tokens["r"], 300)
 
+    def test_acceptance_is_on_the_clock_in_force_when_the_shard_is_made(self) -> None:
+        """Guards against a simulated day whose jobs were accepted on the machine's own clock."""
+        accepted = job("a")
+        accepted.accepted_unix_ms = int(NOW * 1000)
+        for boot_age in (5.0, 1e7):
+            with mock.patch("time.monotonic", return_value=boot_age):
+                shard = BatchShard(wall_clock=self.clock)
+                shard.apply(1, batch.encode_accept(accepted))
+            self.assertEqual(shard.jobs["a"].accepted_at, boot_age)
+
     def test_a_position_never_changes(self) -> None:
         self.apply(batch.encode_accept(job("a")))
         self.finish("a", "a-1", b"first")
