--- a/heronstall/lab/nodes.py
+++ b/heronstall/lab/nodes.py
@@ -69,6 +69,7 @@
     process: asyncio.subprocess.Process | None = None
     asked_at: int | None = None
     killed_at: int | None = None
+    log_start: int = 0  # byte of the log at which that of the present process begins
     usage: Usage = field(default_factory=Usage)
 
 
@@ -139,6 +140,7 @@
         if settings is not None:
             environ["HERONSTALL_SETTINGS"] = str(settings)
         with (self._folder / f"n{node.number}.log").open("ab") as log:
+            node.log_start = log.tell()
             node.process = await asyncio.create_subprocess_exec(
                 *self.program(node), stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log, env=environ
             )
--- a/tests/talks.py
+++ b/tests/talks.py
@@ -36,6 +36,7 @@
 CRASH = 'troubles: [{kind: "dispatcher-crash", at_s: 3, for_s: 1, part: 1}]'
 WORD = 2.0  # seconds in which a drain is to reach everybody
 RELAYS = 4
+SLOW_START_S = 2.5
 
 
 class Later(PeeredNodes):
@@ -49,6 +50,14 @@
         return odd if node.number % 2 else super().program(node)
 
 
+class SlowStarts(PeeredNodes):
+    """Dispatchers whose processes take long to start, as on a busy machine."""
+
+    def program(self, node: Node) -> tuple[str, ...]:
+        """The usual one, after a pause."""
+        return "sh", "-c", f'sleep {SLOW_START_S}; exec "$@"', "sh", *super().program(node)
+
+
 class Other(Later):
     """Every other dispatcher speaks another form."""
 
@@ -80,8 +89,8 @@
 
     def life(self, node: int) -> str:
         """What a dispatcher's present process has logged."""
-        text = (self.work / f"n{node}.log").read_text(errors="replace")
-        return text[text.rfind("event=peers.open") :]
+        log = (self.work / f"n{node}.log").read_bytes()
+        return log[self.nodes.all[node].log_start :].decode(errors="replace")
 
     def relays(self) -> list[int]:
         """Those that watch for others, by their own word: whom a story strikes, nothing that it judges by."""
@@ -103,9 +112,14 @@
             and all("event=watch.answered" in self.life(n.number) for n in self.nodes.all if n.process)
         )
 
+    def restarted(self) -> bool:
+        """Whether each dispatcher has a process, and not its first."""
+        return all(node.process is not None and node.usage.lives > 1 for node in self.nodes.all)
+
     async def settled(self) -> None:
         """Until a few watch and the others follow them, after the crash of all at three seconds."""
         await self.wait(lambda: self.run.time.now > 5 * SECOND)
+        await self.wait(self.restarted)
         await self.wait(self.follow)
 
     @property
@@ -155,6 +169,16 @@
     assert talk.record["starts"]["turned_away"] == 0, talk.record["starts"]
 
 
+async def slow_starts() -> None:
+    """Guards against a play that takes the logs of killed processes for those of the present ones."""
+    async with Talk(CRASH, nodes=SlowStarts) as talk:
+        await talk.settled()
+        for node in talk.nodes.all:
+            _, writer = await asyncio.open_connection(node.host, PEERS_PORT)
+            writer.close()
+    talk.kept(drains=0)
+
+
 async def mixed_versions() -> None:
     """Half of the dispatchers say more than the others know: they are one fleet, and few ask for all."""
     async with Talk(CRASH, nodes=Later) as talk:
@@ -488,6 +512,7 @@
     talk.__name__: talk
     for talk in (
         cold_start,
+        slow_starts,
         mixed_versions,
         two_forms,
         relays_killed,
