--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -17,6 +17,7 @@
 
 from heronstall import events, operator
 from heronstall.cli import main
+from heronstall.cli.main import COMMANDS
 from heronstall.logs import create_formatter
 from tests.scenarios import BASE, RATE, SILENT
 from tests.test_net import raw_config
@@ -30,6 +31,21 @@
     return done.exit_code, done.stdout, done.stderr
 
 
+def test_a_supervisor_starts_without_the_imports_of_other_commands() -> None:
+    code = "import sys; from heronstall.cli import main; main(['keep', '-h'], standalone_mode=False); "
+    code += "print(sorted({'scipy', 'numpy', 'heronstall.cli.rollout'} & set(sys.modules)))"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert done.stdout.endswith("\n[]\n"), done.stdout
+
+
+def test_every_command_is_found_and_no_other() -> None:
+    for name in COMMANDS:
+        assert run(name, "--help")[0] == 0, name
+        assert f"\n  {name} " in run("--help")[1]
+    code, _, err = run("rolout")
+    assert code == 2 and "No such command 'rolout'" in err
+
+
 def test_model_run_prints_one_json_record_and_nothing_else(tmp_path: Path) -> None:
     code, out, err = run("model", "run", "scenarios/calm.cue", "--seed", "3", "--seconds", "3", "--json", "-")
     record = json.loads(out)
