--- a/tests/tier/test_batch.py
+++ b/tests/tier/test_batch.py
@@ -10,6 +10,7 @@
 from heronstall.batch.jobs import BatchShard
 from heronstall.batch.leases import CLAIM_WINDOW, HOLDER_TIMEOUT, MAX_RETRY_DELAY, RETRY_DELAY, LeaseQueue
 from heronstall.transport.messages import BatchItem, BatchJob, Header, ItemResult
+from tests.tier.manual_clock import ManualClock
 
 NOW = 1000.0
 COMPLETION_MS = 8000
@@ -56,17 +57,9 @@
         self.assertEqual(found["a"].decode().body, b"b")
 
 
-class Clock:
-    def __init__(self) -> None:
-        self.now = NOW
-
-    def __call__(self) -> float:
-        return self.now
-
-
 class ShardCase(unittest.TestCase):
     def setUp(self) -> None:
-        self.clock = Clock()
+        self.clock = ManualClock(NOW)
         self.shard = BatchShard(self.clock, self.clock)
         self.index = 0
 
--- a/tests/tier/test_deferred_queue.py
+++ b/tests/tier/test_deferred_queue.py
@@ -6,19 +6,12 @@
 import unittest
 
 from heronstall.dataplane.deferred import DeferredQueue
-
-
-class Clock:
-    def __init__(self) -> None:
-        self.now = 50.0
-
-    def __call__(self) -> float:
-        return self.now
+from tests.tier.manual_clock import ManualClock
 
 
 class DeferredQueueing(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        self.clock = Clock()
+        self.clock = ManualClock(50.0)
         self.utilisation = 0.2
         self.queue = DeferredQueue(lambda: self.utilisation, self.clock)
         self.order: list[str] = []
--- a/tests/tier/test_item_slots.py
+++ b/tests/tier/test_item_slots.py
@@ -12,25 +12,18 @@
 from heronstall.dataplane.subset import DispatcherPosition, WorkerShare, hash_ring, worker_shares
 from heronstall.dataplane.workers import WorkerPool
 from heronstall.transport.messages import Worker
+from tests.tier.manual_clock import ManualClock
 
 LONG_AFTER = 100.0  # seconds, by which the limit after a start has fully grown
 
 
-class Clock:
-    def __init__(self) -> None:
-        self.now = 0.0
-
-    def __call__(self) -> float:
-        return self.now
-
-
 class ItemSlotsCase(unittest.IsolatedAsyncioTestCase):
     """One or more dispatchers with workers of ten slots."""
 
     def dispatcher(
         self, position: DispatcherPosition, workers: int = 4, capacity: int = 10
-    ) -> tuple[WorkerPool, Admission, Clock]:
-        pool, clock = WorkerPool(), Clock()
+    ) -> tuple[WorkerPool, Admission, ManualClock]:
+        pool, clock = WorkerPool(), ManualClock(0.0)
         entries = {
             f"w{k}": Worker(id=f"w{k}", service="s", state="ready", capacity=capacity) for k in range(workers)
         }
