--- a/heronstall/lab/tier/plan.py
+++ b/heronstall/lab/tier/plan.py
@@ -4,6 +4,7 @@
 
 import json
 import random
+from collections.abc import Mapping
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
 from typing import Any
@@ -50,6 +51,7 @@
     folder: Path
     net: str
     sizes: Sizes = field(default_factory=Sizes)
+    limits: Mapping[str, int] = field(default_factory=dict)  # of each machine, in place of the usual ones
 
     @property
     def cores(self) -> list[str]:
@@ -127,7 +129,12 @@
             "port_range": [INTERNAL, INTERNAL + 15],
             "seed_nodes": self.controls,
             "bootstrap": bootstrap,
-            "limits": {"memory_mb": MEMORY_MB, "disk_mb": DISK_MB, "max_fds": DESCRIPTORS},
+            "limits": {
+                "memory_mb": MEMORY_MB,
+                "disk_mb": DISK_MB,
+                "max_fds": DESCRIPTORS,
+                **self.limits,
+            },
             "data_dir": None if machine_class == "edge" else str(self.disk(ip)),
             "heartbeat_ms": HEARTBEAT_MS,
             "fault_tolerance": {"machines": 1},
@@ -135,10 +142,10 @@
         }
 
 
-def drawn(folder: Path, sizes: Sizes | None = None) -> Plan:
+def drawn(folder: Path, sizes: Sizes | None = None, limits: Mapping[str, int] | None = None) -> Plan:
     """A plan for a first start, with addresses that no other local tier is likely to have."""
     net = f"127.{random.randrange(10, 250)}.{random.randrange(250)}"
-    return Plan(folder, net, sizes or Sizes())
+    return Plan(folder, net, sizes or Sizes(), limits or {})
 
 
 def keep(plan: Plan) -> None:
--- a/heronstall/lab/tier/processes.py
+++ b/heronstall/lab/tier/processes.py
@@ -89,6 +89,10 @@
         """Whether a file whose path holds this name is mapped into a process."""
         return library in Path(f"/proc/{self._running[ip].pid}/maps").read_text(encoding="utf-8")
 
+    def pid(self, ip: str) -> int:
+        """Process id of a running node."""
+        return self._running[ip].pid
+
     def memory(self) -> int:
         """Resident bytes of all running processes together."""
         return sum(_resident(process.pid) for process in self._running.values())
--- a/heronstall/lab/tier/worker.py
+++ b/heronstall/lab/tier/worker.py
@@ -11,10 +11,11 @@
 
 
 class Worker:
-    """Streams events; `pause` is the time between them in seconds."""
+    """Streams events; `pause` is the time between them in seconds, `padding` a text added to each."""
 
     def __init__(self, address: str, name: str = "i-1", pause: float = 0.0) -> None:
         self.address, self.name, self.pause = address, name, pause
+        self.padding = ""
         self.runs: dict[str, int] = {}  # by request id
         self._runner: web.ServerRunner | None = None
 
@@ -46,7 +47,7 @@
         with contextlib.suppress(ConnectionResetError):  # the dispatcher has given this run up
             await response.prepare(request)
             for number in range(first, EVENTS + 1):
-                await response.write(f"id: {number}\ndata: {name}-{number}\n\n".encode())
+                await response.write(f"id: {number}\ndata: {name}-{number}{self.padding}\n\n".encode())
                 await asyncio.sleep(self.pause)
             await response.write_eof()
         return response
