--- a/heronstall/lab/tier/worker.py
+++ b/heronstall/lab/tier/worker.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import contextlib
+from typing import Any
 
 from aiohttp import web
 
 EVENTS = 5  # of one run
+MAX_BODY_BYTES = 4 * 1024 * 1024  # the largest that clients may send
 
 
 class Worker:
@@ -21,7 +23,7 @@
 
     async def start(self) -> None:
         """Listen."""
-        self._runner = web.ServerRunner(web.Server(self._answer))
+        self._runner = web.ServerRunner(web.Server(self._answer, request_factory=_create_request))
         await self._runner.setup()
         host, _, port = self.address.rpartition(":")
         await web.TCPSite(self._runner, host, int(port)).start()
@@ -53,6 +55,12 @@
         return response
 
 
+def _create_request(message: Any, payload: Any, protocol: Any, writer: Any, task: Any) -> web.BaseRequest:
+    """Create a request whose body may be as large as a client's; aiohttp takes 1 MB by itself."""
+    loop = asyncio.get_running_loop()
+    return web.BaseRequest(message, payload, protocol, writer, task, loop, client_max_size=MAX_BODY_BYTES)
+
+
 def text_of(name: str) -> str:
     """The whole output of a run."""
     return "\n".join(f"{name}-{n}" for n in range(1, EVENTS + 1))
