batch: a submission's objects and lists are counted before it is decoded

Cause: an empty list takes three bytes of a text and some seventy once decoded, and a submission was decoded before anything of it was checked. Brackets outside texts are counted first; a submission with over 10,000 objects and lists is answered 400 (the largest legal one, of 200 items, has some 400). Texts are searched only where all brackets together are too many.

--- a/heronstall/dataplane/batch_api.py
+++ b/heronstall/dataplane/batch_api.py
@@ -17,12 +17,14 @@
 from heronstall.dataplane.routing import Route
 from heronstall.dataplane.shard_client import ShardClient
 from heronstall.distribution.shards import batch_shard
+from heronstall.json_size import exceeds_containers
 from heronstall.transport.frames import Kind, Status
 from heronstall.transport.messages import BatchItem, BatchJob, Header, ReadReply, ReadRequest, SubmitRequest
 
 SUBMIT_TIMEOUT_S = 3.5
 READ_TIMEOUT_S = 2.5
 MAX_ITEMS = 200
+MAX_CONTAINERS = 10_000  # JSON objects and lists in a submission
 MAX_WAIT_S = 2.0  # for which a read waits for results
 
 
@@ -32,6 +34,8 @@
 
 def parse_items(body: bytes) -> list[BatchItem]:
     """Parses the items of a submission. Raises InvalidSubmission."""
+    if exceeds_containers(body, MAX_CONTAINERS):
+        raise InvalidSubmission(f"body: at most {MAX_CONTAINERS} objects and lists are wanted")
     try:
         raw = ujson.loads(body)
     except ValueError as error:
