batch: an item has at most 128 headers, as a request has

Cause: each header of an item becomes a message object of several hundred bytes. A request on the front may have 128 headers, so an item, which runs as a request, may too; more are answered 400 with the item's number.

--- a/heronstall/dataplane/batch_api.py
+++ b/heronstall/dataplane/batch_api.py
@@ -24,6 +24,7 @@
 SUBMIT_TIMEOUT_S = 3.5
 READ_TIMEOUT_S = 2.5
 MAX_ITEMS = 200
+MAX_ITEM_HEADERS = 128  # as many as a request may have
 MAX_CONTAINERS = 10_000  # JSON objects and lists in a submission
 MAX_WAIT_S = 2.0  # for which a read waits for results
 
@@ -60,6 +61,8 @@
     headers = raw.get("headers", {})
     if not isinstance(headers, dict) or not all(isinstance(v, str) for v in headers.values()):
         raise InvalidSubmission(f"requests[{number}].headers: texts by name are wanted")
+    if len(headers) > MAX_ITEM_HEADERS:
+        raise InvalidSubmission(f"requests[{number}].headers: at most {MAX_ITEM_HEADERS} are wanted")
     tokens = raw.get("tokens", 0)
     if isinstance(tokens, bool) or not isinstance(tokens, (int, float)) or tokens < 0:
         raise InvalidSubmission(f"requests[{number}].tokens: a number is wanted")
--- a/tests/tier/test_json_size.py
+++ b/tests/tier/test_json_size.py
@@ -5,7 +5,13 @@
 import json
 import unittest
 
-from heronstall.dataplane.batch_api import MAX_CONTAINERS, MAX_ITEMS, InvalidSubmission, parse_items
+from heronstall.dataplane.batch_api import (
+    MAX_CONTAINERS,
+    MAX_ITEM_HEADERS,
+    MAX_ITEMS,
+    InvalidSubmission,
+    parse_items,
+)
 from heronstall.json_size import exceeds_containers
 
 
@@ -35,3 +41,17 @@
         self.assertEqual(len(parse_items(body)), MAX_ITEMS)
         with self.assertRaisesRegex(InvalidSubmission, "objects and lists"):
             parse_items(b'{"requests":[' + b"[]," * MAX_CONTAINERS + b"[]]}")
+
+    def test_an_item_has_as_many_headers_as_a_request(self) -> None:
+        item = {
+            "id": "i",
+            "path": "/p",
+            "body": "",
+            "headers": {f"h{n}": "" for n in range(MAX_ITEM_HEADERS)},
+        }
+        self.assertEqual(
+            len(parse_items(json.dumps({"requests": [item]}).encode())[0].headers), MAX_ITEM_HEADERS
+        )
+        item["headers"] = {f"h{n}": "" for n in range(MAX_ITEM_HEADERS + 1)}
+        with self.assertRaisesRegex(InvalidSubmission, r"requests\[0\].headers: at most"):
+            parse_items(json.dumps({"requests": [item]}).encode())
