control: a configuration is counted before it is decoded, and not kept decoded while it is committed

Causes: as with batch submissions, the whole text was decoded before anything was checked; and the decoded document lived in the handler until the commit's outcome, as often as orders were under way.

--- a/heronstall/controlplane/api.py
+++ b/heronstall/controlplane/api.py
@@ -17,12 +17,13 @@
 from heronstall.controlplane.state.documents import ConfigFault, Document, Fault, canonical_json, parse_object
 from heronstall.distribution.shards import BATCH_SHARDS, CONFIG
 from heronstall.distribution.shards import worker_shard as shard_of_service
+from heronstall.json_size import exceeds_containers
 from heronstall.transport.messages import ConfigChange, StoreNode, Worker
 
 log = structlog.get_logger()
 
-MAX_HEARTBEAT_BYTES = 4096  # limit of a heartbeat's response; a request body is much smaller
 MAX_CONFIG_BYTES = 64 * 1024 * 1024
+MAX_CONTAINERS = 100_000  # JSON objects and lists in a configuration
 RETRY_AFTER_SECONDS = 0.3  # Retry-After of a response that reports an unknown outcome
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -95,6 +96,23 @@
         return web.Response(body=document, content_type="application/json")
 
     async def _change_config(self, method: str, if_match: str, body: bytes) -> web.StreamResponse:
+        if exceeds_containers(body, MAX_CONTAINERS):
+            return self._reject(ConfigFault.UNREADABLE, f"over {MAX_CONTAINERS} objects and lists")
+        change = self._read_change(method, if_match, body)
+        if isinstance(change, web.Response):
+            return change
+        # The decoded configuration, many times as large as its text, is not kept during the commit.
+        outcome = await self._core.change_config(change)
+        if outcome is None:
+            return unavailable_response("it may or may not have been taken")
+        if outcome is ChangeOutcome.REFUSED:
+            revision = self._core.config.state.revision
+            return self._reject(ConfigFault.WRONG_BASE, f"revision {revision} is current")
+        log.info("configuration taken", revision=change.revision, again=outcome is ChangeOutcome.REPEATED)
+        return json_response(200, {"revision": change.revision})
+
+    def _read_change(self, method: str, if_match: str, body: bytes) -> ConfigChange | web.Response:
+        """Returns the change that an order asks for, or the response if there is none to commit."""
         config = self._core.config
         current = config.state.revision
         parsed = parse_object(body)
@@ -116,14 +134,7 @@
             return self._reject(*successor.err_value)
         document = successor.ok_value
         text = ujson.dumps(document, escape_forward_slashes=False).encode()
-        change = ConfigChange(current, document["revision"], text, digest)
-        outcome = await self._core.change_config(change)
-        if outcome is None:
-            return unavailable_response("it may or may not have been taken")
-        if outcome is ChangeOutcome.REFUSED:
-            return self._reject(ConfigFault.WRONG_BASE, f"revision {config.state.revision} is current")
-        log.info("configuration taken", revision=change.revision, again=outcome is ChangeOutcome.REPEATED)
-        return json_response(200, {"revision": change.revision})
+        return ConfigChange(current, document["revision"], text, digest)
 
     def _build_successor(self, method: str, submitted: Document) -> Result[Document, Fault]:
         """Returns the validated document that results from a change."""
