store: results and bodies are encoded once the dispatcher reads what was sent before

Cause: a reply was encoded and given to the transport as soon as its call was handled, whether or not the dispatcher had taken the replies before it. A reply with results or with an item's body is encoded when the connection's buffer has room, one at a time; all other replies go out as before.

--- a/heronstall/controlplane/replica_node.py
+++ b/heronstall/controlplane/replica_node.py
@@ -11,7 +11,7 @@
 from heronstall.controlplane.hosting import GroupHost
 from heronstall.replication.protocol import Timing
 from heronstall.transport.frames import Kind
-from heronstall.transport.links import Links, LinkServer, Reply
+from heronstall.transport.links import LargeReply, Links, LinkServer, Reply
 
 HANDOVER_SEND_TIME = 0.2  # seconds for sending the handover messages before the node stops
 BYTES_PER_MB = 1024 * 1024
@@ -59,7 +59,7 @@
         await self._server.listen(self.settings.ip, self.settings.port)
         self._tasks = [asyncio.create_task(coroutine) for coroutine in (self.host.run(), *coroutines)]
 
-    async def _handle_call(self, kind: Kind, body: bytes) -> Reply:
+    async def _handle_call(self, kind: Kind, body: bytes) -> Reply | LargeReply:
         """Answers a call of another node."""
         raise NotImplementedError
 
--- a/heronstall/controlplane/store.py
+++ b/heronstall/controlplane/store.py
@@ -6,6 +6,7 @@
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Collection
+from functools import partial
 from typing import Any
 
 import structlog
@@ -22,7 +23,7 @@
 from heronstall.distribution.view import ControlStateView
 from heronstall.replication import membership
 from heronstall.transport.frames import Kind, Status
-from heronstall.transport.links import Reply
+from heronstall.transport.links import LargeReply, Reply
 from heronstall.transport.messages import (
     FinishRequest,
     Hint,
@@ -109,7 +110,9 @@
         super().__init__(settings, MAX_LOG_BYTES, LOG_DISK_DIVISOR)
         self.view = ControlStateView()
         self.shards: dict[str, OwnedShard] = {}
-        self._calls: dict[Kind, tuple[type[Any], Callable[[OwnedShard, Any], Awaitable[Reply]]]] = {
+        self._calls: dict[
+            Kind, tuple[type[Any], Callable[[OwnedShard, Any], Awaitable[Reply | LargeReply]]]
+        ] = {
             Kind.SUBMIT: (SubmitRequest, self._submit_job),
             Kind.READ: (ReadRequest, self._read_results),
             Kind.BODY: (ReadRequest, self._read_item_body),
@@ -214,7 +217,7 @@
 
     # ------------------------------------------------------------------ calls of dispatchers
 
-    async def _handle_call(self, kind: Kind, body: bytes) -> Reply:
+    async def _handle_call(self, kind: Kind, body: bytes) -> Reply | LargeReply:
         handler = self._calls.get(kind)
         if handler is None:
             return Reply(Status.REFUSED)
@@ -224,7 +227,7 @@
         if owned is None:
             return self._not_owner_reply(request.shard)
         try:
-            reply: Reply = await answer(owned, request)
+            reply: Reply | LargeReply = await answer(owned, request)
         except (Superseded, TimeoutError):
             return Reply(Status.UNSURE)
         return reply
@@ -292,7 +295,7 @@
             and memory_bytes < USABLE_MEMORY_SHARE * self.settings.memory_mb * 1024 * 1024
         )
 
-    async def _read_results(self, owned: OwnedShard, request: ReadRequest) -> Reply:
+    async def _read_results(self, owned: OwnedShard, request: ReadRequest) -> Reply | LargeReply:
         deadline = self.host.now() + request.wait_ms / 1000
         while self._owned_shard(request.shard) is owned:
             job = owned.state.jobs.get(request.job)
@@ -300,16 +303,16 @@
                 return Reply(Status.UNKNOWN)
             remaining = deadline - self.host.now()
             if len(job.results) > request.start or remaining <= 0 or job.is_finished:
-                return Reply(Status.OK, bytes(_results_page(job, request.start)))
+                return LargeReply(partial(_encode_results_page, job, request.start))
             await owned.read_calls.wait(request.job, remaining)
         return self._not_owner_reply(request.shard)
 
-    async def _read_item_body(self, owned: OwnedShard, request: ReadRequest) -> Reply:
+    async def _read_item_body(self, owned: OwnedShard, request: ReadRequest) -> Reply | LargeReply:
         job = owned.state.jobs.get(request.job)
         item = job.open_items.get(request.item) if job else None
         if item is None:
             return Reply(Status.UNKNOWN)
-        return Reply(Status.OK, bytes(ReadReply(body=item.decode().body)))
+        return LargeReply(lambda: bytes(ReadReply(body=item.decode().body)))
 
     async def _end_job(self, owned: OwnedShard, request: ReadRequest) -> Reply:
         job = owned.state.jobs.get(request.job)
@@ -392,6 +395,10 @@
         return None
 
 
+def _encode_results_page(job: Job, start: int) -> bytes:
+    return bytes(_results_page(job, start))
+
+
 def _results_page(job: Job, start: int) -> ReadReply:
     """Returns results from a position on, as many as fit in one reply."""
     found: list[ItemResult] = []
--- a/heronstall/transport/links.py
+++ b/heronstall/transport/links.py
@@ -29,8 +29,18 @@
     body: bytes = b""
 
 
+class LargeReply(NamedTuple):
+    """A successful reply that is encoded only when the connection can take it."""
+
+    encode_body: Callable[[], bytes]
+
+    def encoded(self) -> Reply:
+        """Returns the reply to be sent."""
+        return Reply(Status.OK, self.encode_body())
+
+
 CALL_FAILED = Reply(Status.FAILED)
-CallHandler = Callable[[Kind, bytes], Awaitable[Reply]]
+CallHandler = Callable[[Kind, bytes], Awaitable[Reply | LargeReply]]
 OneWayHandler = Callable[[Kind, bytes], None]
 
 
@@ -234,6 +244,8 @@
             open_connections,
         )
         self._tasks: set[asyncio.Task[None]] = set()
+        self._writable = asyncio.Event()  # the other node reads what is sent to it
+        self._writable.set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -251,11 +263,25 @@
     def connection_lost(self, error: Exception | None) -> None:
         self.transport = None
         self._open_connections.discard(self)
+        self._writable.set()
+
+    def pause_writing(self) -> None:
+        """Holds large replies back: the other node does not read as fast as is sent to it."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Lets large replies go on."""
+        self._writable.set()
 
     async def _answer(self, frame: Frame) -> None:
         reply = await self._handle_call(frame.kind, frame.body)
-        if self.transport is not None:
-            self.transport.write(encode(Frame(frame.kind, reply.status, frame.call_id, reply.body)))
+        while isinstance(reply, LargeReply) and not self._writable.is_set():
+            await self._writable.wait()
+        if self.transport is None:
+            return
+        if isinstance(reply, LargeReply):
+            reply = reply.encoded()
+        self.transport.write(encode(Frame(frame.kind, reply.status, frame.call_id, reply.body)))
 
 
 class LinkServer:
--- a/tests/tier/core_simulation.py
+++ b/tests/tier/core_simulation.py
@@ -31,7 +31,7 @@
 from heronstall.distribution.shards import CONFIG
 from heronstall.distribution.view import ControlStateView
 from heronstall.transport.frames import Kind
-from heronstall.transport.links import CALL_FAILED, Links, Reply
+from heronstall.transport.links import CALL_FAILED, LargeReply, Links, Reply
 from heronstall.transport.messages import Session
 from heronstall.transport.pulling import StatePuller
 from tests.tier.register_history import Answer, Call
@@ -122,7 +122,8 @@
             return
 
         async def reply() -> None:
-            result = await server.serve(kind, body)
+            served = await server.serve(kind, body)
+            result = served.encoded() if isinstance(served, LargeReply) else served
             self._network.deliver(self._target, self._source, lambda: self._answer(answer, result))
 
         server.run(reply())
@@ -155,7 +156,7 @@
     def __init__(
         self,
         network: Network,
-        serve: Callable[[Kind, bytes], Awaitable[Reply]],
+        serve: Callable[[Kind, bytes], Awaitable[Reply | LargeReply]],
         one_way: Callable[[Kind, bytes], None],
     ) -> None:
         self._network, self.serve, self.one_way = network, serve, one_way
--- a/tests/tier/test_store.py
+++ b/tests/tier/test_store.py
@@ -16,6 +16,7 @@
 from heronstall.config import node_settings
 from heronstall.controlplane.store import Store
 from heronstall.transport.frames import Kind, Status
+from heronstall.transport.links import LargeReply
 from heronstall.transport.messages import (
     BatchItem,
     BatchJob,
@@ -77,6 +78,8 @@
     async def call(self, kind: Kind, request: Any) -> tuple[Status, bytes]:
         """Makes one call to the node."""
         reply = await self.store._handle_call(kind, bytes(request))
+        if isinstance(reply, LargeReply):
+            reply = reply.encoded()
         return reply.status, reply.body
 
     async def submit(
