store: submissions that are being committed count against memory and disk

Found while following a submission's bytes: the check whether a job fits counted the jobs that are stored, not those that are proposed and not decided yet. So any number of submissions that came within one commit each found the same room. Their bytes are counted from the proposal until its outcome.

--- a/heronstall/controlplane/store.py
+++ b/heronstall/controlplane/store.py
@@ -62,6 +62,7 @@
         self.state.listener = self
         self.pending_submissions: dict[str, asyncio.Future[Any]] = {}  # proposed jobs, outcome unknown
         self.pending_tokens: Counter[str] = Counter()  # tokens of these jobs, by route
+        self.pending_bytes = 0  # that these jobs will take, with their results
         self.read_calls = CallsByName()
         self.lease_calls = LeaseCalls()
         self._changed_jobs: set[str] = set()  # jobs with changes for held read calls
@@ -257,16 +258,19 @@
         waiting = owned.state.waiting_tokens[job.route] + owned.pending_tokens[job.route]
         if request.max_queued_tokens and waiting + tokens > request.max_queued_tokens:
             return Reply(Status.OVER_QUOTA)
-        if not self._has_capacity_for(items):
+        job_bytes = _stored_bytes(items)
+        if not self._has_capacity_for(job_bytes):
             return Reply(Status.REFUSED)
         decision = owned.pending_submissions[job.id] = self.host.submit(
             request.shard, batch.encode_accept(job)
         )
         owned.pending_tokens[job.route] += tokens
+        owned.pending_bytes += job_bytes
 
         def on_decided(_: asyncio.Future[Any]) -> None:
             del owned.pending_submissions[job.id]
             owned.pending_tokens[job.route] -= tokens
+            owned.pending_bytes -= job_bytes
 
         decision.add_done_callback(on_decided)
         return await self._submission_reply(decision)
@@ -284,10 +288,9 @@
             return Reply(Status.UNSURE)
         return Reply(Status.OK)
 
-    def _has_capacity_for(self, items: Collection[StoredItem]) -> bool:
-        """Whether disk and memory can hold these items until their end, and their results."""
-        held = sum(o.state.memory_bytes for o in self.shards.values())
-        new = sum(2 * len(i.encoded) + 8 * i.tokens + 600 for i in items)
+    def _has_capacity_for(self, new: int) -> bool:
+        """Whether disk and memory can hold so many bytes of a new job, and those of all others."""
+        held = sum(o.state.memory_bytes + o.pending_bytes for o in self.shards.values())
         disk_bytes = 2 * (held + new) + 2 * self.max_log_bytes
         memory_bytes = 2 * (held + new)
         return (
@@ -395,6 +398,11 @@
         return None
 
 
+def _stored_bytes(items: Collection[StoredItem]) -> int:
+    """Returns the bytes that items and their results will take until their end."""
+    return sum(2 * len(i.encoded) + 8 * i.tokens + 600 for i in items)
+
+
 def _encode_results_page(job: Job, start: int) -> bytes:
     return bytes(_results_page(job, start))
 
--- a/tests/tier/test_store.py
+++ b/tests/tier/test_store.py
@@ -14,7 +14,7 @@
 from heronstall.batch.leases import RETRY_DELAY
 from heronstall.batch.outcomes import Outcome
 from heronstall.config import node_settings
-from heronstall.controlplane.store import Store
+from heronstall.controlplane.store import USABLE_MEMORY_SHARE, Store
 from heronstall.transport.frames import Kind, Status
 from heronstall.transport.links import LargeReply
 from heronstall.transport.messages import (
@@ -131,6 +131,21 @@
         self.assertEqual(statuses, [Status.OK, Status.OK])
         self.assertEqual(self.owned.state.waiting_tokens["r"], 30)
 
+    async def test_submissions_that_are_under_way_count_against_the_memory(self) -> None:
+        """Guards against many large submissions at once that each find the memory free."""
+        size = 4 * 1024 * 1024
+
+        async def submit_large(name: str) -> Status:
+            job = BatchJob(id=name, route="r", host="h", completion_ms=8000, retention_ms=60_000)
+            set_items(job, [BatchItem(id=f"{name}-0", path="/p", body=bytes(size))])
+            return (await self.call(Kind.SUBMIT, SubmitRequest(job, 0, SHARD)))[0]
+
+        statuses = await asyncio.gather(*(submit_large(f"job-{n}") for n in range(16)))
+        self.assertEqual(set(statuses), {Status.OK, Status.REFUSED})
+        usable = USABLE_MEMORY_SHARE * self.store.settings.memory_mb * 1024 * 1024
+        self.assertLess(2 * self.owned.state.memory_bytes, usable)
+        self.assertEqual(self.owned.pending_bytes, 0)
+
     async def test_items_of_lost_replies_are_leased_again_and_repeated_failures_count_once(self) -> None:
         await self.submit("a", 3)
         received = await self.lease(1)
