tier: what all connections of a server send is counted, and refused where it is too much

The process is killed, with all that it serves.

Cause: each request alone was held to limits, all together to none. Besides, a head was only measured once it was whole (128 lines of 64 KB are 8 MB), and bytes behind a request were read while it was answered.

Change: a server counts the bytes that each connection has sent since its last answer (OpenConnections, free of I/O). Beyond a fifth of what the machine's memory leaves to requests, those that have waited longest for more bytes are refused, first those over 64 KB, which may take three quarters: 503 with Retry-After, as nothing of them has run. A request that was passed on is never refused; a single one always fits. A head is refused (431) once it is 64 KB over max_header_bytes, and no more is read behind a whole request until it is answered. An announced length over the limit is answered 413 before the body. Heartbeats and the like may have 256 KB (a heartbeat has some 300 bytes), configurations 4 MB (64 MB before; some 12,000 routes).

--- a/heronstall/controlplane/__main__.py
+++ b/heronstall/controlplane/__main__.py
@@ -18,13 +18,19 @@
 
 
 async def _run_core_node(settings: NodeSettings, terminated: asyncio.Event) -> None:
-    from heronstall.controlplane.api import MAX_CONFIG_BYTES, ControlApi
+    from heronstall.controlplane.api import REQUEST_LIMITS, ControlApi, body_limit
     from heronstall.controlplane.core import Core
+    from heronstall.transport.connection_limits import server_limits
     from heronstall.transport.http_server import HttpServer
 
     core = Core(settings)
     await core.start()
-    api = HttpServer(ControlApi(core).handle, lambda: MAX_CONFIG_BYTES)
+    api = HttpServer(
+        ControlApi(core).handle,
+        server_limits(settings.memory_mb, settings.max_fds),
+        lambda: REQUEST_LIMITS,
+        body_limit,
+    )
     await api.listen(settings.listen["control"])
     log_started("control", heronstall.early_signals.LOAD_STARTED_AT)
     await terminated.wait()
--- a/heronstall/controlplane/api.py
+++ b/heronstall/controlplane/api.py
@@ -18,17 +18,28 @@
 from heronstall.distribution.shards import BATCH_SHARDS, CONFIG
 from heronstall.distribution.shards import worker_shard as shard_of_service
 from heronstall.json_size import exceeds_containers
+from heronstall.transport.connection_limits import RequestLimits
+from heronstall.transport.http_connection import read_body
 from heronstall.transport.messages import ConfigChange, StoreNode, Worker
 
 log = structlog.get_logger()
 
-MAX_CONFIG_BYTES = 64 * 1024 * 1024
+MAX_CONFIG_BYTES = 4 * 1024 * 1024  # some 12,000 routes
 MAX_CONTAINERS = 100_000  # JSON objects and lists in a configuration
+MAX_OTHER_BODY_BYTES = 256 * 1024  # of heartbeats and other calls
+BODY_TIMEOUT = 10.0  # seconds for reading a request's body
+CONFIG_PATH = "/-/config"
+REQUEST_LIMITS = RequestLimits(idle_timeout=75.0)  # of workers and operators; bodies: `body_limit`
 RETRY_AFTER_SECONDS = 0.3  # Retry-After of a response that reports an unknown outcome
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
+def body_limit(path: str) -> int:
+    """Returns the largest body in bytes that a path takes."""
+    return MAX_CONFIG_BYTES if path.partition("?")[0] == CONFIG_PATH else MAX_OTHER_BODY_BYTES
+
+
 def json_response(status: int, body: Document | None = None) -> web.Response:
     """Returns a JSON response."""
     text = ujson.dumps(body if body is not None else {}, escape_forward_slashes=False)
@@ -52,7 +63,7 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handles one request."""
         path, method = request.path, request.method
-        if path == "/-/config":
+        if path == CONFIG_PATH:
             return await self._handle_config(request, method)
         if path.startswith("/-/instances/"):
             return await self._handle_instance(request, method, path.removeprefix("/-/instances/"))
@@ -78,7 +89,7 @@
         """Responds with the newest state: a majority confirms the leadership after the request arrived."""
         if method not in ("GET", "PUT", "PATCH"):
             return json_response(405, {"error": "GET, PUT or PATCH is wanted"})
-        body = await request.read()
+        body = await read_body(request, BODY_TIMEOUT)
         if not await self._is_confirmed_leader(CONFIG):
             return self._redirect_to_leader(CONFIG, request)
         if method == "GET":
@@ -165,7 +176,7 @@
             return await self._deregister(request, worker)
         if method != "PUT":
             return json_response(405, {"error": "PUT or DELETE is wanted"})
-        parsed = parse_object(await request.read())
+        parsed = parse_object(await read_body(request, BODY_TIMEOUT))
         if isinstance(parsed, Err):
             return json_response(400, {"error": parsed.err_value[1]})
         heartbeat = _parse_heartbeat(worker, parsed.ok_value)
--- a/heronstall/dataplane/ingress.py
+++ b/heronstall/dataplane/ingress.py
@@ -26,6 +26,7 @@
 )
 from heronstall.dataplane.routing import Routes, RouteType
 from heronstall.distribution.freshness import StalenessLimits
+from heronstall.transport.http_connection import read_body
 
 log = structlog.get_logger()
 
@@ -134,8 +135,7 @@
         if not self.may_serve:
             return service_unavailable(STARTING_RETRY_AFTER_S)
         try:
-            async with asyncio.timeout(BODY_TIMEOUT_S):
-                body = await request.read()
+            body = await read_body(request, BODY_TIMEOUT_S)
         except TimeoutError:
             return empty_response(408)
         except web.HTTPRequestEntityTooLarge:
--- a/heronstall/dataplane/node.py
+++ b/heronstall/dataplane/node.py
@@ -25,6 +25,7 @@
 from heronstall.distribution.freshness import StalenessLimits, complete_until
 from heronstall.distribution.view import ControlStateView
 from heronstall.sessions.loads import pack_loads
+from heronstall.transport.connection_limits import SMALL_SERVER_LIMITS, server_limits
 from heronstall.transport.http_server import HttpServer
 from heronstall.transport.links import Links
 from heronstall.transport.messages import Session
@@ -33,7 +34,6 @@
 log = structlog.get_logger()
 
 UNREADY_PERIOD_S = 2.3  # of unreadiness, after which clients use other dispatchers
-IDLE_SWEEP_INTERVAL_S = 1.0  # between checks for connections that are idle for too long
 SHUTDOWN_RESERVE_S = 0.6  # part of the grace period that is reserved for the last steps
 ABANDON_TIMEOUT_S = 0.3  # part of the reserve in which abandoned requests are answered
 CLOSE_TIMEOUT_S = 0.05  # for closing the connections to workers
@@ -87,12 +87,12 @@
         self._tasks: list[asyncio.Task[None]] = []
         self.front = HttpServer(
             self.ingress.handle,
-            lambda: self.ingress.routes.limits.body_bytes,
+            server_limits(settings.memory_mb, settings.max_fds),
+            lambda: self.ingress.routes.limits,
             auto_decompress=False,
-            lingering_time=1.0,
             handler_cancellation=True,
         )
-        self._readiness = HttpServer(self._handle_readiness, lambda: 0)
+        self._readiness = HttpServer(self._handle_readiness, SMALL_SERVER_LIMITS)
 
     async def start(self) -> None:
         """Starts pulling the control state and listening."""
@@ -102,7 +102,6 @@
             self.deferred.run(),
             self.pool.end_silent_attempts(),
             self.misses.run(),
-            self._sweep(),
         )
         self._tasks = [asyncio.create_task(run) for run in runs]
         await self.front.listen(self.settings.listen["front"])
@@ -145,12 +144,6 @@
             requests=self.ingress.active_count,
         )
 
-    async def _sweep(self) -> None:
-        """Closes connections that have not completed a request head within the configured time."""
-        while True:
-            await asyncio.sleep(IDLE_SWEEP_INTERVAL_S)
-            self.front.close_idle_connections(self.ingress.routes.limits.idle_timeout + IDLE_SWEEP_INTERVAL_S)
-
     def _session(self) -> Session:
         address = f"{self.settings.ip}:{self.settings.port}"
         return Session(
--- a/heronstall/dataplane/routing.py
+++ b/heronstall/dataplane/routing.py
@@ -10,6 +10,8 @@
 
 import ujson
 
+from heronstall.transport.connection_limits import RequestLimits
+
 DEFERRABLE_LATENCY_RATIO = 2.0  # a route with this multiple of the shortest target latency can be deferred
 
 
@@ -72,16 +74,6 @@
     cache_tokens: int
 
 
-@dataclass(frozen=True)
-class RequestLimits:
-    """Limits of clients' requests, in bytes and seconds."""
-
-    header_bytes: int = 16384
-    body_bytes: int = 4 * 1024 * 1024
-    header_timeout: float = 3.0
-    idle_timeout: float = 15.0
-
-
 @dataclass
 class Routes:
     """All routes, services and limits of one configuration."""
--- a/tests/tier/test_drain.py
+++ b/tests/tier/test_drain.py
@@ -281,7 +281,7 @@
             await node.stop()
             self.assertTrue(0.2 < time.monotonic() - started_at < SLOW_MACHINE_TIMEOUT)
 
-        with mock.patch("heronstall.transport.http_server.REQUEST_HEAD_TIMEOUT", 0.3):
+        with mock.patch("heronstall.transport.http_connection.REQUEST_HEAD_TIMEOUT", 0.3):
             self.assertEqual(await self.find_faults(scenario, ["r1"], [0]), [])
 
     async def test_pipelined_requests_are_answered(self) -> None:
