tier: a server has room for a limited number of connections; the least useful give way

Where the system's limit is the machine's, no connection to a worker or another node can be opened then.

Cause: connections were accepted without a bound, a thousand in one turn of the loop, and at the readiness and control addresses an idle one was never closed. Where none may be closed, clients wait in the backlog. The receive buffer of a connection is 64 KB: unread bytes count as memory.

--- a/heronstall/transport/http_server.py
+++ b/heronstall/transport/http_server.py
@@ -4,16 +4,18 @@
 handlers would miss a request whose bytes have been read, or lie in the socket, before its handler starts.
 
 What all connections hold together is limited. Where it is too much, requests that are still being received
-are refused.
+are refused, then connections closed that have no request under way.
 """
 
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import structlog
 from aiohttp import web
 
 from heronstall.transport.connection_limits import RequestLimits, ServerLimits
@@ -21,13 +23,17 @@
 from heronstall.transport.open_connections import OpenConnections
 
 BACKLOG = 1024  # connections waiting to be accepted
-ACCEPT_LOOP_ITERATIONS = 3  # event loop iterations from an accepted socket to its registered connection
+ACCEPTS_PER_TURN = 16  # connections accepted before those accepted earlier are read
+ACCEPT_RETRY_DELAY = 0.02  # seconds until accepting is tried again where there is no room
+RECEIVE_BUFFER_BYTES = 64 * 1024  # of a connection, in the system: what may wait unread
 LINGERING_TIME = 1.0  # seconds for which the rest of a request is discarded after an early response
 DRAIN_POLL_INTERVAL = 0.02  # seconds between checks for idle connections during shutdown
 SWEEP_INTERVAL = 1.0  # seconds between checks for clients that take too long
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
+log = structlog.get_logger()
+
 
 class _ConnectionFactory(web.Server):
     """Creates HttpConnection objects for accepted sockets."""
@@ -54,7 +60,7 @@
         self.draining = False  # while set, a connection is closed after its next response
         self.open_connections: OpenConnections[HttpConnection] = OpenConnections(limits.received_bytes)
         self.request_limits = request_limits
-        self._handle_request, self._body_limit = handle, body_limit
+        self._limits, self._handle_request, self._body_limit = limits, handle, body_limit
         self._server = _ConnectionFactory(
             self._handle,
             request_factory=self._create_request,
@@ -65,7 +71,8 @@
             owner=self,
             **options,
         )
-        self._listener: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
+        self._starting: set[asyncio.Task[Any]] = set()  # accepted sockets without a connection yet
         self._sweeping: asyncio.Task[None] | None = None
 
     @property
@@ -76,10 +83,12 @@
     async def listen(self, address: str) -> None:
         """Starts to accept connections."""
         host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            self._server, host, int(port), reuse_address=True, backlog=BACKLOG
-        )
+        self._listener = listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)  # of its connections
+        listener.bind((host, int(port)))
+        listener.listen(BACKLOG)
+        self._resume_accepting()
         self._sweeping = asyncio.create_task(self._sweep())
 
     def closes_connection_after(self, request: web.BaseRequest) -> bool:
@@ -108,6 +117,15 @@
         while (connection := self.open_connections.next_to_refuse()) is not None:
             connection.refuse()
 
+    def _make_room(self) -> bool:
+        """Closes the least useful connection. Returns False if there is none that may be closed."""
+        for connection in self.open_connections.candidates_to_close():
+            if not connection.has_unread_bytes:
+                self.open_connections.remove(connection)
+                connection.abort()
+                return True
+        return False
+
     async def _sweep(self) -> None:
         """Closes connections whose clients take longer than the request limits allow."""
         while True:
@@ -116,19 +134,62 @@
             for connection in self.connections:
                 connection.close_if_overdue(limits, SWEEP_INTERVAL)
 
+    # ------------------------------------------------------------------ accepting
+
+    def _resume_accepting(self) -> None:
+        if self._listener is not None:
+            asyncio.get_running_loop().add_reader(self._listener.fileno(), self._accept)
+
+    def _accept(self) -> None:
+        """Accepts some of the connections that wait."""
+        assert self._listener is not None
+        for turn in range(ACCEPTS_PER_TURN):
+            if len(self.open_connections) + len(self._starting) >= self._limits.connections:
+                if turn:
+                    return  # it is not known whether another client waits
+                if not self._make_room():
+                    self._pause_accepting()
+                    return
+            try:
+                accepted, _ = self._listener.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as error:  # no descriptor or memory
+                log.warning("accept failed", why=str(error))
+                self._make_room()
+                self._pause_accepting()
+                return
+            self._start_connection(accepted)
+
+    def _pause_accepting(self) -> None:
+        """Leaves clients in the backlog for a moment."""
+        assert self._listener is not None
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self._listener.fileno())
+        loop.call_later(ACCEPT_RETRY_DELAY, self._resume_accepting)
+
+    def _start_connection(self, accepted: socket.socket) -> None:
+        accepted.setblocking(False)
+        loop = asyncio.get_running_loop()
+        starting = loop.create_task(loop.connect_accepted_socket(self._server, accepted))
+        self._starting.add(starting)
+        starting.add_done_callback(self._connection_started)
+
+    def _connection_started(self, starting: asyncio.Task[Any]) -> None:
+        self._starting.discard(starting)
+        if not starting.cancelled() and starting.exception() is not None:
+            log.warning("accept failed", why=str(starting.exception()))
+
     async def _stop_listening(self) -> None:
         """Closes the listener after every accepted socket became a registered connection."""
+        listener, self._listener = self._listener, None
         if self._sweeping is not None:
             self._sweeping.cancel()
-        if self._listener is None:
+        if listener is None:
             return
-        loop = asyncio.get_running_loop()
-        for listening in self._listener.sockets:
-            loop.remove_reader(listening.fileno())
-        for _ in range(ACCEPT_LOOP_ITERATIONS):
-            await asyncio.sleep(0)
-        self._listener.close()
-        self._listener = None
+        asyncio.get_running_loop().remove_reader(listener.fileno())
+        await asyncio.gather(*self._starting, return_exceptions=True)
+        listener.close()
 
     # ------------------------------------------------------------------ requests
 
--- a/tests/tier/test_http_limits.py
+++ b/tests/tier/test_http_limits.py
@@ -176,6 +176,40 @@
         self.assertTrue((await client.response()).startswith(b"HTTP/1.1 431"))
 
 
+class Connections(ServerCase):
+    async def test_new_connections_take_the_places_of_those_without_a_request(self) -> None:
+        """Guards against connections that keep others out."""
+        server = await self.serve()
+        silent = [await self.client() for _ in range(LIMITS.connections)]
+        await self.until(lambda: len(server.open_connections) == LIMITS.connections)
+        client = await self.client()
+        client.send("GET / HTTP/1.1\nHost: h\n\n")
+        self.assertTrue((await client.response()).startswith(b"HTTP/1.1 200"))
+        await silent[0].closed()
+
+    async def test_connections_with_a_request_are_never_closed_for_others(self) -> None:
+        """Guards against a request that is lost for the sake of a new connection."""
+        go_on = asyncio.Event()
+
+        async def hold(request: web.BaseRequest) -> web.StreamResponse:
+            await read_body(request, ANSWER_WITHIN_S)
+            await go_on.wait()
+            return web.Response()
+
+        server = await self.serve(hold)
+        clients = []
+        for _ in range(LIMITS.connections + 3):
+            clients.append(await self.client())
+            clients[-1].send("GET / HTTP/1.1\nHost: h\n\n")
+            wanted = min(len(clients), LIMITS.connections)
+            await self.until(lambda: sum(c._request is not None for c in server.connections) == wanted)  # noqa: B023
+        await asyncio.sleep(0.1)
+        go_on.set()
+        for number, client in enumerate(clients):
+            answer = await client.response()
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"), (number, answer))
+
+
 class Owners(unittest.TestCase):
     def test_other_protocols_are_read_as_before(self) -> None:
         request = mock.Mock(protocol=object(), read=mock.AsyncMock(return_value=b"abc"))
