tier: clients that do not read their answers give way, and are closed after 30 s

What callers saw: clients that ask for results or for the configuration and read nothing: a core node of 230 MB of 128, and a dispatcher beyond its limit once the store no longer was (146 MB; a local tier). Such a client's connection also stayed for ever: while an answer is unsent, no idle time applies, and a close waits for the client to read.

Cause: what lies unsent was bounded for each connection of a stream, not for whole answers, nor for all together.

Evidence: tests/tier/test_http_limits.py, class Answers.

--- a/heronstall/transport/http_connection.py
+++ b/heronstall/transport/http_connection.py
@@ -17,6 +17,7 @@
 MAX_LINE_BYTES = 65536  # of one line of a request head
 REQUEST_HEAD_TIMEOUT = 3.0  # seconds allowed for the rest of a request head during shutdown
 REFUSAL_RETRY_AFTER = 0.5  # seconds after which a refused client may come back
+SEND_STALL_TIMEOUT = 30.0  # seconds for which a client may read nothing of its response
 
 
 class RequestRefused(Exception):
@@ -34,6 +35,12 @@
     def refuse_excess(self) -> None:
         """Refuses requests until the others fit."""
 
+    def connection_blocked(self, connection: HttpConnection) -> None:
+        """Called when a client does not read what was sent to it."""
+
+    def connection_unblocked(self, connection: HttpConnection) -> None:
+        """Called when a client has read on, or has gone."""
+
 
 class HttpConnection(web.RequestHandler):
     """A client connection that knows whether a response is still due on it."""
@@ -51,6 +58,8 @@
         self._discarding = False  # what still arrives of the request is thrown away
         self._bytes_behind = 0  # received behind the whole request that is being answered
         self._reading: asyncio.Timeout | None = None  # while a handler reads the body
+        self._blocked_since: float | None = None  # steady time, of a client that does not read
+        self._blocked_bytes = 0  # unsent when the client last read something
 
     # ------------------------------------------------------------------ receiving
 
@@ -63,6 +72,7 @@
         """Stops counting what the connection holds."""
         super().connection_lost(exc)
         self._owner.open_connections.remove(self)
+        self._owner.connection_unblocked(self)
 
     def data_received(self, data: bytes) -> None:
         """Handles received bytes and counts them for as long as they are kept."""
@@ -179,6 +189,23 @@
         if self._buffer_paused:
             self._resume_reading_if_drained()
 
+    def pause_writing(self) -> None:
+        """Notes that the client does not read its response as fast as it is sent."""
+        super().pause_writing()
+        self._blocked_since, self._blocked_bytes = time.monotonic(), self.unsent_bytes
+        self._owner.connection_blocked(self)
+
+    def resume_writing(self) -> None:
+        """Notes that the client has read most of what was sent."""
+        super().resume_writing()
+        self._blocked_since = None
+        self._owner.connection_unblocked(self)
+
+    @property
+    def unsent_bytes(self) -> int:
+        """The bytes of responses that the client's socket has not taken yet."""
+        return self.transport.get_write_buffer_size() if self.transport is not None else 0
+
     def abort(self) -> None:
         """Closes the connection at once, without sending what is unsent."""
         if self.transport is not None:
@@ -227,11 +254,20 @@
     def close_if_overdue(self, limits: RequestLimits, slack: float) -> None:
         """Closes the connection if its client takes longer than allowed, by more than a slack in seconds."""
         now = time.monotonic()
+        if self._blocked_since is not None:
+            self._abort_if_stalled(now)
         if not self.awaits_request:
             return
         if now - self.last_active_at > limits.idle_timeout + slack and not self.has_unread_bytes:
             self.force_close()
 
+    def _abort_if_stalled(self, now: float) -> None:
+        unsent = self.unsent_bytes
+        if unsent != self._blocked_bytes:
+            self._blocked_since, self._blocked_bytes = now, unsent
+        elif self._blocked_since is not None and now - self._blocked_since > SEND_STALL_TIMEOUT:
+            self.abort()
+
 
 async def read_body(request: web.BaseRequest, seconds: float) -> bytes:
     """Reads a request's body, as `HttpConnection.read_body` does; without its limits on other connections."""
--- a/heronstall/transport/http_server.py
+++ b/heronstall/transport/http_server.py
@@ -4,7 +4,7 @@
 handlers would miss a request whose bytes have been read, or lie in the socket, before its handler starts.
 
 What all connections hold together is limited. Where it is too much, requests that are still being received
-are refused, then connections closed that have no request under way.
+are refused, then connections closed whose clients read nothing or have no request under way.
 """
 
 from __future__ import annotations
@@ -61,6 +61,7 @@
         self.open_connections: OpenConnections[HttpConnection] = OpenConnections(limits.received_bytes)
         self.request_limits = request_limits
         self._limits, self._handle_request, self._body_limit = limits, handle, body_limit
+        self._blocked: dict[HttpConnection, None] = {}  # their clients do not read; the longest first
         self._server = _ConnectionFactory(
             self._handle,
             request_factory=self._create_request,
@@ -117,6 +118,20 @@
         while (connection := self.open_connections.next_to_refuse()) is not None:
             connection.refuse()
 
+    def connection_blocked(self, connection: HttpConnection) -> None:
+        """Aborts the connections blocked longest if clients leave too much unread."""
+        self._blocked[connection] = None
+        unsent = sum(blocked.unsent_bytes for blocked in self._blocked)
+        while unsent > self._limits.unsent_bytes and len(self._blocked) > 1:
+            longest = next(iter(self._blocked))
+            unsent -= longest.unsent_bytes
+            del self._blocked[longest]
+            longest.abort()
+
+    def connection_unblocked(self, connection: HttpConnection) -> None:
+        """Notes that a client has read on, or has gone."""
+        self._blocked.pop(connection, None)
+
     def _make_room(self) -> bool:
         """Closes the least useful connection. Returns False if there is none that may be closed."""
         for connection in self.open_connections.candidates_to_close():
--- a/tests/tier/test_http_limits.py
+++ b/tests/tier/test_http_limits.py
@@ -210,6 +210,47 @@
             self.assertTrue(answer.startswith(b"HTTP/1.1 200"), (number, answer))
 
 
+class Answers(ServerCase):
+    async def test_clients_that_do_not_read_give_way_to_others(self) -> None:
+        """Guards against answers that pile up unsent."""
+
+        async def large(request: web.BaseRequest) -> web.StreamResponse:
+            await read_body(request, ANSWER_WITHIN_S)
+            return web.Response(body=bytes(8 * 1024 * 1024))
+
+        server = await self.serve(large)
+        for _ in range(4):
+            client = await self.client()
+            client.send("GET / HTTP/1.1\nHost: h\n\n")
+        await self.until(lambda: 0 < len(server._blocked) < 3)
+        await self.until(lambda: len(server.connections) < 3)
+
+    async def test_a_client_that_never_reads_is_closed(self) -> None:
+        """Guards against connections that wait forever for their client to read."""
+
+        async def large(request: web.BaseRequest) -> web.StreamResponse:
+            await read_body(request, ANSWER_WITHIN_S)
+            return web.Response(body=bytes(8 * 1024 * 1024))
+
+        with mock.patch("heronstall.transport.http_connection.SEND_STALL_TIMEOUT", TIMEOUT):
+            server = await self.serve(large)
+            client = await self.client()
+            client.send("GET / HTTP/1.1\nHost: h\n\n")
+            await self.until(lambda: len(server.connections) == 1)
+            await self.until(lambda: not server.connections)
+
+    async def test_a_blocked_connection_of_a_closed_client_is_forgotten(self) -> None:
+        async def large(request: web.BaseRequest) -> web.StreamResponse:
+            return web.Response(body=bytes(8 * 1024 * 1024))
+
+        server = await self.serve(large)
+        client = await self.client()
+        client.send("GET / HTTP/1.1\nHost: h\n\n")
+        await self.until(lambda: bool(server._blocked))
+        client.close()
+        await self.until(lambda: not server._blocked and not server.connections)
+
+
 class Owners(unittest.TestCase):
     def test_other_protocols_are_read_as_before(self) -> None:
         request = mock.Mock(protocol=object(), read=mock.AsyncMock(return_value=b"abc"))
