tier: a connection between requests keeps neither the last body nor the last answer

Cause: aiohttp's connection task keeps its last request and response in local variables until the next request has ended, and with them the body that was read and the body that was sent; seen with tracemalloc on the way (33 answers of 0.8 MB alive with nothing unsent). Both bodies are dropped when the answer was sent.

--- a/heronstall/transport/http_connection.py
+++ b/heronstall/transport/http_connection.py
@@ -158,8 +158,12 @@
         """Handles a request until its response was sent; aiohttp has no public hook for the latter."""
         self._request, self._discarding = request, False
         try:
-            return await super()._handle_request(request, start_time, request_handler)
+            response, reset = await super()._handle_request(request, start_time, request_handler)
+            _drop_body(response)
+            return response, reset
         finally:
+            # aiohttp keeps the last request and response of a connection until the next one ends.
+            request._read_bytes = None
             self._request = None
             self.last_active_at = time.monotonic()
             self._end_request()
@@ -269,6 +273,12 @@
             self.abort()
 
 
+def _drop_body(response: web.StreamResponse) -> None:
+    """Releases the body of a response that was sent."""
+    if isinstance(response, web.Response):
+        response.body = None
+
+
 async def read_body(request: web.BaseRequest, seconds: float) -> bytes:
     """Reads a request's body, as `HttpConnection.read_body` does; without its limits on other connections."""
     connection = request.protocol
--- a/tests/misbehaving/crowd.py
+++ b/tests/misbehaving/crowd.py
@@ -26,9 +26,13 @@
         for _ in range(count):
             self._senders.append(asyncio.create_task(self._send(pieces)))
 
+    async def sent(self, seconds: float) -> None:
+        """Returns when all clients have sent what they will, or after a time if some are not read."""
+        await asyncio.wait(self._senders, timeout=seconds)
+
     async def settle(self, seconds: float) -> None:
         """Returns some time after all clients have sent what they will, or sooner if some are not read."""
-        await asyncio.wait(self._senders, timeout=seconds)
+        await self.sent(seconds)
         await asyncio.sleep(STAY_S)
 
     async def leave(self) -> None:
--- a/tests/misbehaving/test_dispatcher.py
+++ b/tests/misbehaving/test_dispatcher.py
@@ -56,6 +56,16 @@
         await self.check_served()
         await self.check_limits()
 
+    async def test_connections_that_rest_after_a_large_body(self) -> None:
+        """Guards against requests that are kept by their connections after they were answered."""
+        crowd = self.crowd(self.front)
+        for _ in range(MANY_BODIES):
+            crowd.join(1, whole_body(POST_HEAD, b"x" * BODY_BYTES))
+            await crowd.sent(SETTLE_S)
+        await crowd.settle(SETTLE_S)
+        await self.check_served()
+        await self.check_limits()
+
     async def test_bodies_to_paths_without_a_route(self) -> None:
         """Guards against a bound that holds on routes alone."""
         head = POST_HEAD.replace(STREAM, "/nowhere/")
--- a/tests/tier/test_http_limits.py
+++ b/tests/tier/test_http_limits.py
@@ -157,6 +157,24 @@
         client.send("POST / HTTP/1.1\nHost: h\nContent-Length: 1001\n\n")
         self.assertTrue((await client.response()).startswith(b"HTTP/1.1 413"))
 
+    async def test_a_connection_keeps_neither_request_nor_response(self) -> None:
+        """Guards against bodies that stay with a connection between its requests."""
+        seen: list[web.BaseRequest] = []
+        responses: list[web.Response] = []
+
+        async def echo(request: web.BaseRequest) -> web.StreamResponse:
+            seen.append(request)
+            responses.append(web.Response(body=await read_body(request, ANSWER_WITHIN_S)))
+            return responses[-1]
+
+        server = await self.serve(echo)
+        client = await self.client()
+        client.send("POST / HTTP/1.1\nHost: h\nContent-Length: 5\n\nhello")
+        self.assertIn(b"Content-Length: 5", await client.response())
+        await self.until(lambda: all(c.awaits_request for c in server.connections))
+        self.assertIsNone(seen[0]._read_bytes)
+        self.assertIsNone(responses[0].body)
+
 
 class Heads(ServerCase):
     async def test_a_connection_between_requests_is_not_held_to_the_time_of_a_head(self) -> None:
