tier: a head that is not whole after header_timeout_ms is answered 408 and its connection closed

`limits.header_timeout_ms` was parsed and used nowhere: a client that sent part of a head kept its connection for idle_timeout_ms, and for ever where it sent a byte now and then. The time counts from the head's first byte, with up to 2 s more for the check once a second; a head whose rest lies unread in the socket is not late. A 408 promises that nothing has run.

Evidence: tests/tier/test_http_limits.py, two tests of heads that come too slowly.

--- a/heronstall/controlplane/__main__.py
+++ b/heronstall/controlplane/__main__.py
@@ -11,6 +11,7 @@
 
 import click
 
+from heronstall.allocator import return_large_buffers
 from heronstall.config import NodeSettings
 from heronstall.tier_process import log_started, settings_option, settings_or_exit, termination_event
 
@@ -58,6 +59,7 @@
 def main(path: str) -> None:
     """Run a core or a storage node of the tier."""
     settings = settings_or_exit(path, needs_disk=True)
+    return_large_buffers()
     asyncio.run(_run(settings))
 
 
--- a/heronstall/dataplane/__main__.py
+++ b/heronstall/dataplane/__main__.py
@@ -10,6 +10,7 @@
 
 import click
 
+from heronstall.allocator import return_large_buffers
 from heronstall.config import NodeSettings
 from heronstall.tier_process import log_started, settings_option, settings_or_exit, termination_event
 
@@ -30,6 +31,7 @@
 def main(path: str) -> None:
     """Run a dispatcher of the tier."""
     settings = settings_or_exit(path, required_listeners=("front", "readiness"))
+    return_large_buffers()
     asyncio.run(_run(settings))
 
 
--- a/heronstall/transport/http_connection.py
+++ b/heronstall/transport/http_connection.py
@@ -262,7 +262,11 @@
             self._abort_if_stalled(now)
         if not self.awaits_request:
             return
-        if now - self.last_active_at > limits.idle_timeout + slack and not self.has_unread_bytes:
+        if self._partial_head_since is not None:
+            is_late = now - self._partial_head_since > limits.header_timeout + slack
+            if is_late and not self.has_unread_bytes:
+                self._respond_and_close(HTTPStatus.REQUEST_TIMEOUT)
+        elif now - self.last_active_at > limits.idle_timeout + slack and not self.has_unread_bytes:
             self.force_close()
 
     def _abort_if_stalled(self, now: float) -> None:
--- a/tests/tier/test_http_limits.py
+++ b/tests/tier/test_http_limits.py
@@ -177,6 +177,26 @@
 
 
 class Heads(ServerCase):
+    async def test_a_head_that_stops_short_is_answered_and_closed_in_time(self) -> None:
+        """Guards against `header_timeout_ms` without effect."""
+        await self.serve(request_limits=RequestLimits(header_timeout=TIMEOUT, idle_timeout=3600.0))
+        client = await self.client()
+        client.send("GET / HTTP/1.1\nHost:")
+        self.assertTrue((await client.response()).startswith(b"HTTP/1.1 408"))
+        await client.closed()
+
+    async def test_a_head_that_comes_piece_by_piece_is_closed_in_time(self) -> None:
+        """Guards against a time that begins anew with each byte."""
+        await self.serve(request_limits=RequestLimits(header_timeout=TIMEOUT, idle_timeout=3600.0))
+        client = await self.client()
+        client.send("GET / HTTP/1.1\nHost: h")
+        response = asyncio.create_task(client.response())
+        while not response.done():
+            client.send("x")
+            await asyncio.sleep(0.02)
+        answer = await response
+        self.assertTrue(answer.startswith(b"HTTP/1.1 408"), answer)
+
     async def test_a_connection_between_requests_is_not_held_to_the_time_of_a_head(self) -> None:
         server = await self.serve(request_limits=RequestLimits(header_timeout=0.0, idle_timeout=3600.0))
         client = await self.client()
