tier: no server inflates what it is sent

Cause: aiohttp's server inflates bodies unless told otherwise; only the dispatchers' front was told.

--- a/heronstall/dataplane/node.py
+++ b/heronstall/dataplane/node.py
@@ -89,7 +89,6 @@
             self.ingress.handle,
             server_limits(settings.memory_mb, settings.max_fds),
             lambda: self.ingress.routes.limits,
-            auto_decompress=False,
             handler_cancellation=True,
         )
         self._readiness = HttpServer(self._handle_readiness, SMALL_SERVER_LIMITS)
--- a/heronstall/transport/http_server.py
+++ b/heronstall/transport/http_server.py
@@ -69,6 +69,7 @@
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
             lingering_time=LINGERING_TIME,
+            auto_decompress=False,  # bodies are passed on as they are, and limits are of what was sent
             owner=self,
             **options,
         )
--- a/tests/misbehaving/test_control.py
+++ b/tests/misbehaving/test_control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import zlib
 
 from heronstall.lab.tier.client import HOST, configuration
 from tests.misbehaving.crowd import chunked_body, partial_head, sized_body, whole_body
@@ -55,6 +56,15 @@
             await crowd.settle(SETTLE_S)
         await self.check()
 
+    async def test_compressed_configurations_that_stop_short(self) -> None:
+        """Guards against bodies that grow when they are read."""
+        head = f"{CONFIG_HEAD}Content-Encoding: deflate\r\n"
+        body = zlib.compress(b" " * (BODY_BYTES - SHORT_BY_BYTES))
+        crowd = self.crowd(self.control)
+        crowd.join(MANY_BODIES, [f"{head}Content-Length: {len(body) + 1}\r\n\r\n".encode(), body])
+        await crowd.settle(SETTLE_S)
+        await self.check()
+
     async def test_retirements_with_bodies_that_stop_short(self) -> None:
         """Guards against bodies that no handler reads."""
         head = f"POST /-/retire/none HTTP/1.1\r\nHost: {HOST}\r\n"
