tier: numbers in requests are held to what messages between nodes can hold

What was seen, with one request each (a local tier): a configuration with `revision` 10^30 was committed, and no replica could read the entry (ValueError in flush on all three core nodes, the order answered 503); an item with `tokens` 10^30 was answered 504, as the store could not read the call; 10^999, texts of 5,000 digits or other scripts' digits in `tokens`, `start_after`, Heronstall-Wait-Ms or Heronstall-Deadline-Ms brought 500 and a traceback in the log. Cause: numbers were taken as Python takes them, and encoded as they came.

Change: configurations and heartbeats may have numbers up to 2^53 (code 1001), an item up to 10^9 tokens (400); the whole numbers in headers and queries have one parser, which takes nine decimal digits. It replaces two others that had the same limit.

--- a/heronstall/controlplane/state/documents.py
+++ b/heronstall/controlplane/state/documents.py
@@ -5,7 +5,7 @@
 import json
 from collections import Counter
 from enum import IntEnum
-from typing import Any
+from typing import Any, NoReturn
 
 import ujson
 from result import Err, Ok, Result
@@ -38,14 +38,33 @@
 
 
 Document = dict[str, Any]
+MAX_NUMBER = 2**53  # the largest whole number up to which all JSON readers agree
+MAX_NUMBER_DIGITS = len(str(MAX_NUMBER)) + 1  # with a sign
 
 
 class _DuplicateKeyError(ValueError):
     pass
 
 
+def _parse_int(text: str) -> int:
+    if len(text) > MAX_NUMBER_DIGITS or abs(int(text)) > MAX_NUMBER:
+        raise ValueError(f"{text[:30]} is beyond {MAX_NUMBER}")
+    return int(text)
+
+
+def _parse_float(text: str) -> float:
+    value = float(text)
+    if abs(value) > MAX_NUMBER:
+        raise ValueError(f"{text[:30]} is beyond {MAX_NUMBER}")
+    return value
+
+
+def _reject_constant(text: str) -> NoReturn:
+    raise ValueError(f"{text} is not JSON")
+
+
 def parse_object(body: bytes) -> Result[Document, Fault]:
-    """Parses a JSON object. Duplicate keys are rejected."""
+    """Parses a JSON object. Rejects duplicate keys, and numbers that messages between nodes cannot hold."""
 
     def reject_duplicates(pairs: list[tuple[str, Any]]) -> Document:
         names = Counter(name for name, _ in pairs)
@@ -55,7 +74,13 @@
         return dict(pairs)
 
     try:
-        value = json.loads(body, object_pairs_hook=reject_duplicates)
+        value = json.loads(
+            body,
+            object_pairs_hook=reject_duplicates,
+            parse_int=_parse_int,
+            parse_float=_parse_float,
+            parse_constant=_reject_constant,
+        )
     except _DuplicateKeyError as error:
         return fault_result(ConfigFault.DUPLICATE, f"key {error} stands twice")
     except ValueError as error:
--- a/heronstall/dataplane/batch_api.py
+++ b/heronstall/dataplane/batch_api.py
@@ -16,6 +16,7 @@
 from heronstall.dataplane.misses import MissLog
 from heronstall.dataplane.routing import Route
 from heronstall.dataplane.shard_client import ShardClient
+from heronstall.dataplane.whole_numbers import parse_whole_number
 from heronstall.distribution.shards import batch_shard
 from heronstall.json_size import exceeds_containers
 from heronstall.transport.frames import Kind, Status
@@ -24,6 +25,7 @@
 SUBMIT_TIMEOUT_S = 3.5
 READ_TIMEOUT_S = 2.5
 MAX_ITEMS = 200
+MAX_ITEM_TOKENS = 10**9
 MAX_ITEM_HEADERS = 128  # as many as a request may have
 MAX_CONTAINERS = 10_000  # JSON objects and lists in a submission
 MAX_WAIT_S = 2.0  # for which a read waits for results
@@ -64,8 +66,8 @@
     if len(headers) > MAX_ITEM_HEADERS:
         raise InvalidSubmission(f"requests[{number}].headers: at most {MAX_ITEM_HEADERS} are wanted")
     tokens = raw.get("tokens", 0)
-    if isinstance(tokens, bool) or not isinstance(tokens, (int, float)) or tokens < 0:
-        raise InvalidSubmission(f"requests[{number}].tokens: a number is wanted")
+    if isinstance(tokens, bool) or not isinstance(tokens, (int, float)) or not 0 <= tokens <= MAX_ITEM_TOKENS:
+        raise InvalidSubmission(f"requests[{number}].tokens: a number up to {MAX_ITEM_TOKENS} is wanted")
     try:
         body = base64.b64decode(raw["body"], validate=True)
     except binascii.Error as error:
@@ -128,11 +130,11 @@
 
     async def read_results(self, request: web.BaseRequest, host: str, job: str) -> web.Response:
         """Returns the results of a job from a position on."""
-        start_text = request.query.get("start_after", "0")
-        wait_text = request.headers.get("Heronstall-Wait-Ms", "0")
-        if not start_text.isdigit() or not wait_text.isdigit():
+        start = parse_whole_number(request.query.get("start_after", "0"))
+        wait_ms = parse_whole_number(request.headers.get("Heronstall-Wait-Ms", "0"))
+        if start is None or wait_ms is None:
             return web.json_response({"error": "start_after, Heronstall-Wait-Ms: whole numbers"}, status=400)
-        start, wait = int(start_text), min(MAX_WAIT_S, int(wait_text) / 1000)
+        wait = min(MAX_WAIT_S, wait_ms / 1000)
         if self._is_stopping():
             wait = 0.0  # a waiting reader would delay the shutdown
         shard = batch_shard(host)
--- a/heronstall/dataplane/forwarding.py
+++ b/heronstall/dataplane/forwarding.py
@@ -19,9 +19,10 @@
 from heronstall.dataplane.events import EventReader
 from heronstall.dataplane.framing import is_framed
 from heronstall.dataplane.misses import EndedRequest, MissLog, RequestTimes
-from heronstall.dataplane.prefixes import MAX_TOKEN_DIGITS, SharedPrefix, parse_shared_prefix
+from heronstall.dataplane.prefixes import SharedPrefix, parse_shared_prefix
 from heronstall.dataplane.prompt_placement import PlacedPrompt, PromptPlacer
 from heronstall.dataplane.routing import Route, RouteType
+from heronstall.dataplane.whole_numbers import parse_whole_number
 from heronstall.dataplane.workers import UnsendablePath, WorkerPool, WorkerState, record_target
 
 log = structlog.get_logger()
@@ -98,12 +99,12 @@
     @cached_property
     def prompt_tokens(self) -> int:
         """The prompt's length in tokens; 0 if the request does not state it."""
-        return _parse_token_count(self.request.headers.get(TOKEN_USAGE_HEADER, "").partition(",")[0])
+        return parse_whole_number(self.request.headers.get(TOKEN_USAGE_HEADER, "").partition(",")[0]) or 0
 
     @property
     def output_tokens(self) -> int:
         """The maximum length of the output in tokens; 0 if the request does not state it."""
-        return _parse_token_count(self.request.headers.get(TOKEN_USAGE_HEADER, "").partition(",")[2])
+        return parse_whole_number(self.request.headers.get(TOKEN_USAGE_HEADER, "").partition(",")[2]) or 0
 
     def summary(self, status: int) -> EndedRequest:
         """Returns the record of the ended request. A status of 0 means that no response was sent."""
@@ -121,12 +122,6 @@
         )
 
 
-def _parse_token_count(text: str) -> int:
-    """Parses a number of tokens. Returns 0 for anything else."""
-    digits = text.strip()
-    return int(digits) if digits.isdecimal() and len(digits) <= MAX_TOKEN_DIGITS else 0
-
-
 class ForwardedResponse(web.StreamResponse):
     """A worker's response, without the headers that aiohttp would add."""
 
--- a/heronstall/dataplane/ingress.py
+++ b/heronstall/dataplane/ingress.py
@@ -25,6 +25,7 @@
     service_unavailable,
 )
 from heronstall.dataplane.routing import Routes, RouteType
+from heronstall.dataplane.whole_numbers import parse_whole_number
 from heronstall.distribution.freshness import StalenessLimits
 from heronstall.transport.http_connection import read_body
 
@@ -192,5 +193,5 @@
 
 
 def _requested_time_limit(request: web.BaseRequest) -> float:
-    text = request.headers.get(DEADLINE_HEADER, "")
-    return int(text) / 1000 if text.isdigit() and int(text) > 0 else DEFAULT_TIME_LIMIT_S
+    milliseconds = parse_whole_number(request.headers.get(DEADLINE_HEADER, ""))
+    return milliseconds / 1000 if milliseconds else DEFAULT_TIME_LIMIT_S
--- a/heronstall/dataplane/prefixes.py
+++ b/heronstall/dataplane/prefixes.py
@@ -4,7 +4,8 @@
 
 from typing import NamedTuple
 
-MAX_TOKEN_DIGITS = 9  # in a number of tokens
+from heronstall.dataplane.whole_numbers import parse_whole_number
+
 # From this size on, prefilling the shared tokens again costs more than an uneven load.
 LARGE_PREFIX_TOKENS = 1500
 
@@ -33,9 +34,9 @@
     largest, largest_tokens, total = "", 0, 0
     for segment in header.split(",")[:-1]:
         name, _, size = segment.strip().partition(":")
-        if not size.isdecimal() or len(size) > MAX_TOKEN_DIGITS:
+        tokens = parse_whole_number(size)
+        if tokens is None:
             return NO_SHARED_PREFIX
-        tokens = int(size)
         total += tokens
         if tokens > largest_tokens:
             largest, largest_tokens = name, tokens
