tier: one time limit for bodies, one largest body, one function for a page of results

The 10 s for a request's body stood in the ingress and in the control API: it is the default of read_body, which both call. The stand-in worker had its own 4 MB: it takes that of RequestLimits. A page of results was built by one function and encoded by another that alone called it: one function. Behaviour is as it was.

--- a/heronstall/controlplane/api.py
+++ b/heronstall/controlplane/api.py
@@ -27,7 +27,6 @@
 MAX_CONFIG_BYTES = 4 * 1024 * 1024  # some 12,000 routes
 MAX_CONTAINERS = 100_000  # JSON objects and lists in a configuration
 MAX_OTHER_BODY_BYTES = 256 * 1024  # of heartbeats and other calls
-BODY_TIMEOUT = 10.0  # seconds for reading a request's body
 CONFIG_PATH = "/-/config"
 REQUEST_LIMITS = RequestLimits(idle_timeout=75.0)  # of workers and operators; bodies: `body_limit`
 RETRY_AFTER_SECONDS = 0.3  # Retry-After of a response that reports an unknown outcome
@@ -89,7 +88,7 @@
         """Responds with the newest state: a majority confirms the leadership after the request arrived."""
         if method not in ("GET", "PUT", "PATCH"):
             return json_response(405, {"error": "GET, PUT or PATCH is wanted"})
-        body = await read_body(request, BODY_TIMEOUT)
+        body = await read_body(request)
         if not await self._is_confirmed_leader(CONFIG):
             return self._redirect_to_leader(CONFIG, request)
         if method == "GET":
@@ -176,7 +175,7 @@
             return await self._deregister(request, worker)
         if method != "PUT":
             return json_response(405, {"error": "PUT or DELETE is wanted"})
-        parsed = parse_object(await read_body(request, BODY_TIMEOUT))
+        parsed = parse_object(await read_body(request))
         if isinstance(parsed, Err):
             return json_response(400, {"error": parsed.err_value[1]})
         heartbeat = _parse_heartbeat(worker, parsed.ok_value)
--- a/heronstall/controlplane/store.py
+++ b/heronstall/controlplane/store.py
@@ -404,11 +404,7 @@
 
 
 def _encode_results_page(job: Job, start: int) -> bytes:
-    return bytes(_results_page(job, start))
-
-
-def _results_page(job: Job, start: int) -> ReadReply:
-    """Returns results from a position on, as many as fit in one reply."""
+    """Returns the encoded results from a position on, as many as fit in one reply."""
     found: list[ItemResult] = []
     size = 0
     for result in job.results[start:]:
@@ -416,7 +412,7 @@
         if found and size > MAX_READ_REPLY_BYTES:
             break
         found.append(result)
-    return ReadReply(total=job.total, results=found)
+    return bytes(ReadReply(total=job.total, results=found))
 
 
 def _leased_item(job: Job, item: str, lease_number: int) -> LeasedItem:
--- a/heronstall/dataplane/ingress.py
+++ b/heronstall/dataplane/ingress.py
@@ -33,7 +33,6 @@
 
 JOBS_PATH = "/-/lots/"
 ITEMS_PATH = "/-/items/"
-BODY_TIMEOUT_S = 10.0  # for reading a request's body
 DEFERRAL_SHARE = 0.2  # share of the target latency by which a request may be deferred; more is penalized
 CONFIGURATION_WAIT_S = 0.5  # for which a request waits for the first configuration after startup
 DEFAULT_TIME_LIMIT_S = 60.0  # for requests without a deadline
@@ -136,7 +135,7 @@
         if not self.may_serve:
             return service_unavailable(STARTING_RETRY_AFTER_S)
         try:
-            body = await read_body(request, BODY_TIMEOUT_S)
+            body = await read_body(request)
         except TimeoutError:
             return empty_response(408)
         except web.HTTPRequestEntityTooLarge:
--- a/heronstall/lab/tier/worker.py
+++ b/heronstall/lab/tier/worker.py
@@ -8,8 +8,9 @@
 
 from aiohttp import web
 
+from heronstall.transport.connection_limits import RequestLimits
+
 EVENTS = 5  # of one run
-MAX_BODY_BYTES = 4 * 1024 * 1024  # the largest that clients may send
 
 
 class Worker:
@@ -58,7 +59,9 @@
 def _create_request(message: Any, payload: Any, protocol: Any, writer: Any, task: Any) -> web.BaseRequest:
     """Create a request whose body may be as large as a client's; aiohttp takes 1 MB by itself."""
     loop = asyncio.get_running_loop()
-    return web.BaseRequest(message, payload, protocol, writer, task, loop, client_max_size=MAX_BODY_BYTES)
+    return web.BaseRequest(
+        message, payload, protocol, writer, task, loop, client_max_size=RequestLimits().body_bytes
+    )
 
 
 def text_of(name: str) -> str:
--- a/heronstall/transport/http_connection.py
+++ b/heronstall/transport/http_connection.py
@@ -17,6 +17,7 @@
 MAX_LINE_BYTES = 65536  # of one line of a request head
 REQUEST_HEAD_TIMEOUT = 3.0  # seconds allowed for the rest of a request head during shutdown
 REFUSAL_RETRY_AFTER = 0.5  # seconds after which a refused client may come back
+BODY_TIMEOUT = 10.0  # seconds for the whole body of a request
 SEND_STALL_TIMEOUT = 30.0  # seconds for which a client may read nothing of its response
 
 
@@ -283,7 +284,7 @@
         response.body = None
 
 
-async def read_body(request: web.BaseRequest, seconds: float) -> bytes:
+async def read_body(request: web.BaseRequest, seconds: float = BODY_TIMEOUT) -> bytes:
     """Reads a request's body, as `HttpConnection.read_body` does; without its limits on other connections."""
     connection = request.protocol
     if isinstance(connection, HttpConnection):
