tests: a crowd is sent in one call; the tests of misbehaving clients say what it sends and to whom

Crowds, bounds, waits and assertions are as before; a test that needs the crowd itself (several joins, one client after the other) keeps it.

--- a/tests/misbehaving/test_control.py
+++ b/tests/misbehaving/test_control.py
@@ -14,7 +14,6 @@
     MANY_BODIES,
     MANY_CONNECTIONS,
     MANY_HEADS,
-    SETTLE_S,
     SHORT_BY_BYTES,
     TierCase,
 )
@@ -34,16 +33,18 @@
 
     async def test_configurations_that_stop_short(self) -> None:
         """Guards against bodies that are read without a bound for all connections together."""
-        crowd = self.crowd(self.control)
-        crowd.join(MANY_BODIES, sized_body(CONFIG_HEAD, BODY_BYTES, BODY_BYTES - SHORT_BY_BYTES))
-        await crowd.settle(SETTLE_S)
+        await self.send_from_crowd(
+            self.control, MANY_BODIES, sized_body(CONFIG_HEAD, BODY_BYTES, BODY_BYTES - SHORT_BY_BYTES)
+        )
         await self.check()
 
     async def test_heartbeats_that_stop_short(self) -> None:
         """Guards against bodies far beyond what a heartbeat needs."""
-        crowd = self.crowd(self.control)
-        crowd.join(MANY_BODIES, chunked_body(HEARTBEAT_HEAD, CHUNK_BYTES, BODY_BYTES // CHUNK_BYTES - 1))
-        await crowd.settle(SETTLE_S)
+        await self.send_from_crowd(
+            self.control,
+            MANY_BODIES,
+            chunked_body(HEARTBEAT_HEAD, CHUNK_BYTES, BODY_BYTES // CHUNK_BYTES - 1),
+        )
         await self.check()
 
     async def test_whole_configurations_that_decode_to_many_times_their_size(self) -> None:
@@ -51,47 +52,41 @@
         entries = b",".join([b"[]"] * (BODY_BYTES // 3 - 100))
         body = b'{"revision":3,"services":[],"routes":[' + entries + b"]}"
         for address in self.tier.plan.controls:  # the leader alone reads it
-            crowd = self.crowd(address)
-            crowd.join(8, whole_body(CONFIG_HEAD, body))
-            await crowd.settle(SETTLE_S)
+            await self.send_from_crowd(address, 8, whole_body(CONFIG_HEAD, body))
         await self.check()
 
     async def test_compressed_configurations_that_stop_short(self) -> None:
         """Guards against bodies that grow when they are read."""
         head = f"{CONFIG_HEAD}Content-Encoding: deflate\r\n"
         body = zlib.compress(b" " * (BODY_BYTES - SHORT_BY_BYTES))
-        crowd = self.crowd(self.control)
-        crowd.join(MANY_BODIES, [f"{head}Content-Length: {len(body) + 1}\r\n\r\n".encode(), body])
-        await crowd.settle(SETTLE_S)
+        await self.send_from_crowd(
+            self.control, MANY_BODIES, [f"{head}Content-Length: {len(body) + 1}\r\n\r\n".encode(), body]
+        )
         await self.check()
 
     async def test_retirements_with_bodies_that_stop_short(self) -> None:
         """Guards against bodies that no handler reads."""
         head = f"POST /-/retire/none HTTP/1.1\r\nHost: {HOST}\r\n"
-        crowd = self.crowd(self.control)
-        crowd.join(MANY_BODIES, sized_body(head, BODY_BYTES, BODY_BYTES - SHORT_BY_BYTES))
-        await crowd.settle(SETTLE_S)
+        await self.send_from_crowd(
+            self.control, MANY_BODIES, sized_body(head, BODY_BYTES, BODY_BYTES - SHORT_BY_BYTES)
+        )
         await self.check()
 
     async def test_heads_that_stop_short(self) -> None:
         """Guards against heads that are kept while they arrive."""
-        crowd = self.crowd(self.control)
-        crowd.join(MANY_HEADS, partial_head(CONFIG_HEAD, HEAD_FIELDS, HEAD_FIELD_BYTES))
-        await crowd.settle(SETTLE_S)
+        await self.send_from_crowd(
+            self.control, MANY_HEADS, partial_head(CONFIG_HEAD, HEAD_FIELDS, HEAD_FIELD_BYTES)
+        )
         await self.check()
 
     async def test_connections_that_send_nothing(self) -> None:
         """Guards against connections that take all descriptors."""
-        crowd = self.crowd(self.control)
-        crowd.join(MANY_CONNECTIONS, [])
-        await crowd.settle(SETTLE_S)
+        await self.send_from_crowd(self.control, MANY_CONNECTIONS, [])
         await self.check()
 
     async def test_connections_that_send_part_of_a_head(self) -> None:
         """Guards against connections that seem to be in use."""
-        crowd = self.crowd(self.control)
-        crowd.join(MANY_CONNECTIONS, [CONFIG_HEAD.encode()])
-        await crowd.settle(SETTLE_S)
+        await self.send_from_crowd(self.control, MANY_CONNECTIONS, [CONFIG_HEAD.encode()])
         await self.check()
 
 
@@ -103,9 +98,7 @@
         self.assertEqual(await self.client.configure(document, 2), 200)
         read = f"GET /-/config HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode()
         for address in self.tier.plan.controls:  # the leader alone answers with the configuration
-            crowd = self.crowd(address)
-            crowd.join(READERS, [read * READS])
-            await crowd.settle(SETTLE_S)
+            await self.send_from_crowd(address, READERS, [read * READS])
         self.assertEqual(json.dumps(await self.client.configured()), json.dumps(document))
         await self.check_configurable(3)
         await self.check_served()
--- a/tests/misbehaving/test_dispatcher.py
+++ b/tests/misbehaving/test_dispatcher.py
@@ -32,26 +32,24 @@
 class Bodies(TierCase):
     async def test_sized_bodies_that_stop_short(self) -> None:
         """Guards against bodies that are read without a bound for all connections together."""
-        crowd = self.crowd(self.front)
-        crowd.join(MANY_BODIES, sized_body(POST_HEAD, BODY_BYTES, BODY_BYTES - SHORT_BY_BYTES))
-        await crowd.settle(SETTLE_S)
+        await self.send_from_crowd(
+            self.front, MANY_BODIES, sized_body(POST_HEAD, BODY_BYTES, BODY_BYTES - SHORT_BY_BYTES)
+        )
         await self.check_served()
         await self.check_limits()
 
     async def test_chunked_bodies_that_stop_short(self) -> None:
         """Guards against a bound that only knows announced lengths."""
-        crowd = self.crowd(self.front)
-        crowd.join(MANY_BODIES, chunked_body(POST_HEAD, CHUNK_BYTES, BODY_BYTES // CHUNK_BYTES - 1))
-        await crowd.settle(SETTLE_S)
+        await self.send_from_crowd(
+            self.front, MANY_BODIES, chunked_body(POST_HEAD, CHUNK_BYTES, BODY_BYTES // CHUNK_BYTES - 1)
+        )
         await self.check_served()
         await self.check_limits()
 
     async def test_whole_bodies_at_a_slow_worker(self) -> None:
         """Guards against whole bodies that are held for their answer without a bound."""
         self.tier.workers[0].pause = WORKER_PAUSE_S
-        crowd = self.crowd(self.front)
-        crowd.join(MANY_BODIES, whole_body(POST_HEAD, b"x" * BODY_BYTES))
-        await crowd.settle(SETTLE_S)
+        await self.send_from_crowd(self.front, MANY_BODIES, whole_body(POST_HEAD, b"x" * BODY_BYTES))
         self.tier.workers[0].pause = 0.0
         await self.check_served()
         await self.check_limits()
@@ -69,9 +67,9 @@
     async def test_bodies_to_paths_without_a_route(self) -> None:
         """Guards against a bound that holds on routes alone."""
         head = POST_HEAD.replace(STREAM, "/nowhere/")
-        crowd = self.crowd(self.front)
-        crowd.join(MANY_BODIES, sized_body(head, BODY_BYTES, BODY_BYTES - SHORT_BY_BYTES))
-        await crowd.settle(SETTLE_S)
+        await self.send_from_crowd(
+            self.front, MANY_BODIES, sized_body(head, BODY_BYTES, BODY_BYTES - SHORT_BY_BYTES)
+        )
         await self.check_served()
         await self.check_limits()
 
@@ -92,17 +90,17 @@
 class Heads(TierCase):
     async def test_heads_that_stop_short(self) -> None:
         """Guards against heads that are kept far beyond the configured size while they arrive."""
-        crowd = self.crowd(self.front)
-        crowd.join(MANY_HEADS, partial_head(POST_HEAD, HEAD_FIELDS, HEAD_FIELD_BYTES))
-        await crowd.settle(SETTLE_S)
+        await self.send_from_crowd(
+            self.front, MANY_HEADS, partial_head(POST_HEAD, HEAD_FIELDS, HEAD_FIELD_BYTES)
+        )
         await self.check_served()
         await self.check_limits()
 
     async def test_heads_behind_a_request_that_is_being_answered(self) -> None:
         """Guards against bytes that are read and kept while an earlier request is answered."""
-        crowd = self.crowd(self.front)
-        crowd.join(MANY_HEADS, partial_head(WAITING_READ + POST_HEAD, HEAD_FIELDS, HEAD_FIELD_BYTES))
-        await crowd.settle(SETTLE_S)
+        await self.send_from_crowd(
+            self.front, MANY_HEADS, partial_head(WAITING_READ + POST_HEAD, HEAD_FIELDS, HEAD_FIELD_BYTES)
+        )
         await self.check_served()
         await self.check_limits()
 
@@ -110,25 +108,19 @@
 class Connections(TierCase):
     async def test_connections_that_send_nothing(self) -> None:
         """Guards against connections that take all descriptors."""
-        crowd = self.crowd(self.front)
-        crowd.join(MANY_CONNECTIONS, [])
-        await crowd.settle(SETTLE_S)
+        await self.send_from_crowd(self.front, MANY_CONNECTIONS, [])
         await self.check_served()
         await self.check_limits()
 
     async def test_connections_that_send_part_of_a_head(self) -> None:
         """Guards against connections that seem to be in use."""
-        crowd = self.crowd(self.front)
-        crowd.join(MANY_CONNECTIONS, [POST_HEAD.encode()])
-        await crowd.settle(SETTLE_S)
+        await self.send_from_crowd(self.front, MANY_CONNECTIONS, [POST_HEAD.encode()])
         await self.check_served()
         await self.check_limits()
 
     async def test_connections_to_the_readiness_address(self) -> None:
         """Guards against an address of the same process that has no limit of its own."""
-        crowd = self.crowd(self.readiness)
-        crowd.join(MANY_CONNECTIONS, [])
-        await crowd.settle(SETTLE_S)
+        await self.send_from_crowd(self.readiness, MANY_CONNECTIONS, [])
         self.assertTrue(await until(self.is_ready, ANSWER_WITHIN_S))
         await self.check_served()
         await self.check_limits()
@@ -163,9 +155,7 @@
     async def test_streams_that_are_not_read(self) -> None:
         """Guards against streams that are kept for clients that do not read them."""
         self.tier.workers[0].padding = "y" * STREAMED_EVENT_BYTES
-        crowd = self.crowd(self.front)
-        crowd.join(MANY_BODIES, whole_body(POST_HEAD, b"prompt"))
-        await crowd.settle(SETTLE_S)
+        await self.send_from_crowd(self.front, MANY_BODIES, whole_body(POST_HEAD, b"prompt"))
         self.tier.workers[0].padding = ""
         await self.check_served()
         await self.check_limits()
--- a/tests/misbehaving/tier_case.py
+++ b/tests/misbehaving/tier_case.py
@@ -5,6 +5,7 @@
 import asyncio
 import tempfile
 import unittest
+from collections.abc import Sequence
 from pathlib import Path
 
 from heronstall.lab.tier.client import TROUBLES, configuration, until
@@ -62,6 +63,12 @@
         self.addAsyncCleanup(crowd.leave)
         return crowd
 
+    async def send_from_crowd(self, address: str, count: int, pieces: Sequence[bytes]) -> None:
+        """Has so many clients send these pieces to an address and stay, until the server has handled them."""
+        crowd = self.crowd(address)
+        crowd.join(count, pieces)
+        await crowd.settle(SETTLE_S)
+
     def next_id(self) -> str:
         """Returns a new request id."""
         self._calls += 1
