--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""The operator sends a configuration in which the value of one field has the wrong type."""
+"""A dispatcher freezes and wakes, twice; in calm, eight seconds later, a worker goes dark."""
 
 from __future__ import annotations
 
@@ -13,57 +13,69 @@
 
 HOST = "counter.example"
 SERVICE = "trade-assist"
-APPLY_S = tier2.BOUNDS["config_apply_ms"] / 1000
-CONTACT_S = tier2.BOUNDS["contact_ms"] / 1000
+WORKERS = 6  # one of them is the share of 0.17 that the site's troubles name
+STREAMS_PER_S = 5.0  # at each dispatcher
+FREEZES, FREEZE_S = 2, 3.8  # as the site's day trouble-2 has it
+FINISH_S = tier2.BOUNDS["finish_s"]
 
 
-async def statuses(case: tier2.Case, edges: list[str], prefix: str, count: int) -> list[int]:
-    """Return the statuses of some streamed requests on a route, at each of some dispatchers in turn."""
-    found = []
-    for turn in range(count):
-        edge = edges[turn % len(edges)]
-        found.append((await case.clients.stream(edge, HOST, f"{prefix}{turn}", 4000)).status)
-    return found
+async def review_requests(case: tier2.Case, edge: str) -> None:
+    """Send streams that may be resumed to a dispatcher until cancelled; some take most of their deadline."""
+    while True:
+        case.spawn(case.clients.stream(edge, HOST, "/review/1", 4000))
+        await asyncio.sleep(1 / STREAMS_PER_S)
 
 
 async def play(case: tier2.Case) -> bool:
-    """Return whether the configuration was refused, or is in force where it was acknowledged."""
-    record, tier = case.record, case.tier
-    for _ in range(3):
-        await case.add_worker(SERVICE, capacity=48)
-    quote = tier2.route("quote", HOST, "/quote/", "streaming", SERVICE)
-    await case.begin(tier2.configuration(1, [quote], [SERVICE]))
-    before = await statuses(case, tier.edges, "/quote/", 10)
-    if set(before) != {200}:
-        raise tier2.NotRun(f"not served in calm: {before}")
+    """Return whether all items of the job were listed."""
+    record, tier, clients = case.record, case.tier, case.clients
+    for _ in range(WORKERS):
+        await case.add_worker(SERVICE, capacity=48, events=25, pause=0.1)
+    routes = [
+        tier2.route("review", HOST, "/review/", "streaming", SERVICE),
+        tier2.route("notes", HOST, "/notes/", "batch", SERVICE),
+    ]
+    await case.begin(tier2.configuration(1, routes, [SERVICE]))
+    frozen = tier.edges[0]
+    streams = [case.spawn(review_requests(case, edge)) for edge in tier.edges]
+    await asyncio.sleep(4)
 
-    # One more route. With the trouble, a field of it holds a text where a whole number belongs.
-    wrong = {"priority": "high"} if tier2.TROUBLE else {}
-    added = tier2.route("review", HOST, "/review/", "streaming", SERVICE, **wrong)
-    status = await case.operator.put(tier2.configuration(2, [quote, added], [SERVICE]))
-    if 400 <= status < 500:
-        record.note("judged", refused=status)
-        return True
-    await asyncio.sleep(APPLY_S + CONTACT_S)
-    on_added = await statuses(case, tier.edges, "/review/", 20)
-    on_first = await statuses(case, tier.edges, "/quote/", 10)
+    for _ in range(FREEZES):
+        if tier2.TROUBLE:
+            tier.signal(frozen, signal.SIGSTOP)
+            await asyncio.sleep(FREEZE_S)
+            tier.signal(frozen, signal.SIGCONT)
+        await asyncio.sleep(8)  # calm for contact_ms and catch_up_s
+    record.note("streams", by_status=clients.streams)
+    for each in streams:
+        each.cancel()
+    await asyncio.sleep(3)
 
-    restarted = tier.edges[0]  # what an operator would meet next: a dispatcher is restarted
-    tier.signal(restarted, signal.SIGTERM)
-    await tier2.until(lambda: ended(tier, restarted), tier2.BOUNDS["grace_s"] + 2, "a dispatcher ends")
-    tier.start(restarted)
-    await asyncio.sleep(tier2.BOUNDS["recover_s"])
-    ready = await tier2.is_ready(restarted)
-    after = await statuses(case, [restarted], "/quote/", 10)
-    record.note(
-        "judged", acknowledged=status, on_added=on_added, on_first=on_first, ready=ready, after_restart=after
-    )
-    return set(on_added) == {200} and ready and set(after) == {200}
+    jobs = [tier2.Job(f"notes-{number}", HOST, "/notes/", 20, b"note " * 100, 1200) for number in range(6)]
+    for job in jobs:
+        if await clients.submit(job) != 202:
+            raise tier2.NotRun("a job was not accepted")
+        case.spawn(clients.follow(job))
+        await asyncio.sleep(0.3)
+    if tier2.TROUBLE:
+        lost = max(case.workers, key=lambda worker: len(worker.sent_by(frozen, "notes-")))
+        items = lost.sent_by(frozen, "notes-")
+        if not items:
+            raise tier2.NotRun("the dispatcher that was frozen has no items at a worker")
+        record.note("lost worker", items_of_frozen=items)
+        lost.go_dark()
+    record.note("traffic ends")
 
-
-async def ended(tier: tier2.Tier, ip: str) -> bool:
-    """Whether a process has ended."""
-    return ip in tier.ended()
+    await asyncio.sleep(FINISH_S)
+    record.note("finish_s is over")
+    await asyncio.sleep(13)  # an item that failed at a worker in the last 20 s would not count
+    alive = [worker for worker in case.workers if not worker.dark]
+    at_work = sum(len(worker.running) for worker in alive)
+    idle_for = record.now() - max(worker.last_finished for worker in alive)
+    unlisted = [item for job in jobs for item in job.unlisted]
+    age = record.now() - jobs[0].accepted_at
+    record.note("judged", unlisted=unlisted, at_work=at_work, idle_s=round(idle_for, 1), age_s=round(age, 1))
+    return not (unlisted and at_work == 0 and idle_for > 5)
 
 
 if __name__ == "__main__":
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,8 +1,9 @@
-"""A route with a longer prefix is added on the host of a batch route, under which some items lie."""
+"""The operator sends a configuration in which the value of one field has the wrong type."""
 
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
@@ -12,40 +13,57 @@
 
 HOST = "counter.example"
 SERVICE = "trade-assist"
-NOTES = "/notes/"
-ITEMS = 20
-READ_S = 20.0
+APPLY_S = tier2.BOUNDS["config_apply_ms"] / 1000
+CONTACT_S = tier2.BOUNDS["contact_ms"] / 1000
+
+
+async def statuses(case: tier2.Case, edges: list[str], prefix: str, count: int) -> list[int]:
+    """Return the statuses of some streamed requests on a route, at each of some dispatchers in turn."""
+    found = []
+    for turn in range(count):
+        edge = edges[turn % len(edges)]
+        found.append((await case.clients.stream(edge, HOST, f"{prefix}{turn}", 4000)).status)
+    return found
 
 
 async def play(case: tier2.Case) -> bool:
-    """Return whether no item was given up."""
-    record, clients = case.record, case.clients
+    """Return whether the configuration was refused, or is in force where it was acknowledged."""
+    record, tier = case.record, case.tier
     for _ in range(3):
-        await case.add_worker(SERVICE, capacity=16)
-    notes = tier2.route("notes", HOST, NOTES, "batch", SERVICE)
-    await case.begin(tier2.configuration(1, [notes], [SERVICE]))
-
-    # The path of an item is /notes/NUMBER/ID, as in the examples of the pages.
-    first = tier2.Job("notes-0", HOST, NOTES, ITEMS, b"note " * 100, 1200)
-    if await clients.submit(first) != 202:
-        raise tier2.NotRun("a job was not accepted in calm")
-    await asyncio.wait_for(clients.follow(first), READ_S)
-
-    if tier2.TROUBLE:
-        urgent = tier2.route("urgent", HOST, f"{NOTES}7/", "streaming", SERVICE)
-        if await case.operator.put(tier2.configuration(2, [notes, urgent], [SERVICE])) != 200:
-            raise tier2.NotRun("the added route was not taken")
-    await asyncio.sleep(5)
-    second = tier2.Job("notes-1", HOST, NOTES, ITEMS, b"note " * 100, 1200)
-    if await clients.submit(second) != 202:
-        raise tier2.NotRun("a job was not accepted")
-    await asyncio.wait_for(clients.follow(second), READ_S)
-
-    given_up = [result["id"] for result in second.results if result["state"] == "dead_letter"]
-    ran = [item for item in given_up if any(item in worker.runs for worker in case.workers)]
-    age = round(record.now() - second.accepted_at, 1)
-    record.note("judged", given_up=given_up, of_these_ran=ran, age_s=age)
-    return not given_up
+        await case.add_worker(SERVICE, capacity=48)
+    quote = tier2.route("quote", HOST, "/quote/", "streaming", SERVICE)
+    await case.begin(tier2.configuration(1, [quote], [SERVICE]))
+    before = await statuses(case, tier.edges, "/quote/", 10)
+    if set(before) != {200}:
+        raise tier2.NotRun(f"not served in calm: {before}")
+
+    # One more route. With the trouble, a field of it holds a text where a whole number belongs.
+    wrong = {"priority": "high"} if tier2.TROUBLE else {}
+    added = tier2.route("review", HOST, "/review/", "streaming", SERVICE, **wrong)
+    status = await case.operator.put(tier2.configuration(2, [quote, added], [SERVICE]))
+    if 400 <= status < 500:
+        record.note("judged", refused=status)
+        return True
+    await asyncio.sleep(APPLY_S + CONTACT_S)
+    on_added = await statuses(case, tier.edges, "/review/", 20)
+    on_first = await statuses(case, tier.edges, "/quote/", 10)
+
+    restarted = tier.edges[0]  # what an operator would meet next: a dispatcher is restarted
+    tier.signal(restarted, signal.SIGTERM)
+    await tier2.until(lambda: ended(tier, restarted), tier2.BOUNDS["grace_s"] + 2, "a dispatcher ends")
+    tier.start(restarted)
+    await asyncio.sleep(tier2.BOUNDS["recover_s"])
+    ready = await tier2.is_ready(restarted)
+    after = await statuses(case, [restarted], "/quote/", 10)
+    record.note(
+        "judged", acknowledged=status, on_added=on_added, on_first=on_first, ready=ready, after_restart=after
+    )
+    return set(on_added) == {200} and ready and set(after) == {200}
+
+
+async def ended(tier: tier2.Tier, ip: str) -> bool:
+    """Whether a process has ended."""
+    return ip in tier.ended()
 
 
 if __name__ == "__main__":
