--- a/review/tier2.py
+++ b/review/tier2.py
@@ -32,6 +32,7 @@
 
 FRONT, READY, CONTROL, INTERNAL, WORKER = 8161, 8167, 8166, 7720, 9000  # ports
 HEARTBEAT_S = 1.2
+WORK_LOOK_S = 0.02  # between a worker's looks whether the connection of a request was closed
 BOUNDS = {  # of the site lakeshore-heron
     "seed_lag_s": 3,
     "reuse_after_s": 2,
@@ -262,14 +263,17 @@
         capacity: int = 16,
         events: int = 5,
         pause: float = 0.05,
+        tokens_per_s: float = float("inf"),
     ) -> None:
         self.name = f"i-{random.getrandbits(32):08x}"
         self.address = f"{tier.net}.{101 + number}:{WORKER}"
         self.service, self.capacity, self.events, self.pause = service, capacity, events, pause
+        self.tokens_per_s = tokens_per_s  # of a prompt, which is read before the first event
         self.dark = False
         self.runs: dict[str, int] = {}  # by request id
         self.running: dict[str, int] = {}  # requests in work, with the port from which they came
         self.last_finished = 0.0
+        self.cut: list[tuple[float, str, float]] = []  # when, request, seconds: runs that their sender ended
         self._power_is_back = asyncio.Event()  # never: what waits for it keeps its connection open
         self._tier, self._record = tier, tier.record
         self._server: asyncio.Server | None = None
@@ -348,14 +352,14 @@
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while True:
                 head = Head((await reader.readuntil(b"\r\n\r\n"))[:-4])
-                body = await reader.readexactly(int(head.headers.get("content-length", 0)))
+                await reader.readexactly(int(head.headers.get("content-length", 0)))
                 if self.dark:
                     await self._power_is_back.wait()
-                await self._answer(head, body, writer)
+                await self._answer(head, reader, writer)
         if not self.dark:
             writer.close()
 
-    async def _answer(self, head: Head, body: bytes, writer: asyncio.StreamWriter) -> None:
+    async def _answer(self, head: Head, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         name = head.headers.get("heronstall-request-id", "")
         if head.headers.get("heronstall-target-instance", self.name) != self.name:
             writer.write(_plain_answer("421 Misdirected Request", name, "Heronstall-Not-Executed: 1\r\n"))
@@ -365,7 +369,7 @@
             return
         self.runs[name] = self.runs.get(name, 0) + 1
         self.running[name] = writer.get_extra_info("peername")[1]
-        first = int(head.headers.get("last-event-id", 0)) + 1
+        first, began = int(head.headers.get("last-event-id", 0)) + 1, self._record.now()
         self._record.note("run", worker=self.name, request=name, first=first, path=head.path)
         try:
             writer.write(
@@ -374,22 +378,37 @@
                     f"Heronstall-Request-Id: {name}\r\nHeronstall-Response-Signature: sig-{name}\r\n\r\n"
                 ).encode()
             )
+            prompt = int(head.headers.get("heronstall-token-usage", "0").partition(",")[0])
+            await self._work(prompt / self.tokens_per_s, reader, writer)
             for number in range(first, self.events + 1):
-                await asyncio.sleep(self.pause)
-                if self.dark:
-                    await self._power_is_back.wait()
+                await self._work(self.pause, reader, writer)
                 event = f"id: {number}\ndata: {name}-{number}\n\n".encode()
                 writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
                 await writer.drain()
-                if writer.transport.is_closing():
-                    raise ConnectionResetError
             writer.write(b"0\r\n\r\n")
             await writer.drain()
             self.last_finished = self._record.now()
             self._record.note("done", worker=self.name, request=name)
+        except ConnectionResetError:
+            seconds = self._record.now() - began
+            self.cut.append((self._record.now(), name, seconds))
+            self._record.note("cut", worker=self.name, request=name, seconds=round(seconds, 3))
+            raise
         finally:
             self.running.pop(name, None)
 
+    async def _work(self, seconds: float, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Work at a request for some seconds; raises ConnectionResetError once its connection is closed."""
+        end = time.monotonic() + seconds
+        while True:
+            await asyncio.sleep(max(0.0, min(WORK_LOOK_S, end - time.monotonic())))
+            if self.dark:
+                await self._power_is_back.wait()
+            if reader.at_eof() or writer.transport.is_closing():
+                raise ConnectionResetError
+            if time.monotonic() >= end:
+                return
+
 
 def _plain_answer(status: str, name: str, headers: str) -> bytes:
     return (
@@ -521,6 +540,7 @@
     """A batch job as its client knows it."""
 
     def __init__(self, name: str, host: str, prefix: str, items: int, body: bytes, tokens: int) -> None:
+        """`tokens` are those of each item's prompt."""
         self.name, self.host, self.prefix = name, host, prefix
         self.items = [f"{name}-{number}" for number in range(items)]
         self.accepted_at = 0.0  # time of the 202; 0 without one
