dispatcher: a freeze no longer stops the ending of silent attempts for good

Callers saw batch items that were never listed: after a dispatcher had stood still for 3.8 s once, it never again gave up on a silent worker.

Cause: the task that ends silent attempts reschedules their time limits. When the process wakes, a limit may be expiring already, while its task has not run yet; asyncio then raises RuntimeError, which ended the task for the life of the process, unseen.

Change: expire_now leaves an expired limit alone. The three places that end a limit early use it; the end of a shutdown had the same fault.

--- a/heronstall/dataplane/attempts.py
+++ b/heronstall/dataplane/attempts.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from heronstall.dataplane.attempt_ends import END_RULES, AttemptEnd
+from heronstall.transport.event_waits import expire_now
 
 # A worker is suspected if it has sent nothing since an attempt this old was sent.
 WORKER_SILENCE_S = 0.5
@@ -107,10 +108,9 @@
             if a.max_silence is not None
             and now - a.last_data_at > min(limit, a.max_silence) + _remaining_allowance(a)
         ]
-        loop_now = asyncio.get_running_loop().time()
         for attempt in silent:
             self.finish(attempt)
-            attempt.timeout.reschedule(loop_now)
+            expire_now(attempt.timeout)
         return len(silent)
 
 
--- a/heronstall/dataplane/ingress.py
+++ b/heronstall/dataplane/ingress.py
@@ -27,6 +27,7 @@
 from heronstall.dataplane.routing import Routes, RouteType
 from heronstall.dataplane.whole_numbers import parse_whole_number
 from heronstall.distribution.freshness import StalenessLimits
+from heronstall.transport.event_waits import expire_now
 from heronstall.transport.http_connection import read_body
 
 log = structlog.get_logger()
@@ -105,9 +106,8 @@
 
     def abandon_requests(self) -> None:
         """Answers all active requests before the process exits, so that clients learn their outcome."""
-        now = asyncio.get_running_loop().time()
         for active_request in self._active_requests:
-            active_request.timeout.reschedule(now)
+            expire_now(active_request.timeout)
 
     def _abandoned_response(
         self, request: web.BaseRequest, active_request: ActiveRequest
--- a/heronstall/transport/event_waits.py
+++ b/heronstall/transport/event_waits.py
@@ -1,4 +1,4 @@
-"""Waiting for events with a timeout."""
+"""Waiting for events with a timeout, and ending a timeout early."""
 
 from __future__ import annotations
 
@@ -13,3 +13,12 @@
     except TimeoutError:
         pass
     return event.is_set()
+
+
+def expire_now(timeout: asyncio.Timeout) -> None:
+    """Makes an entered timeout expire at once.
+
+    One that has expired is left alone: its task may not have run since, and asyncio forbids to reschedule it.
+    """
+    if not timeout.expired():
+        timeout.reschedule(asyncio.get_running_loop().time())
--- a/heronstall/transport/http_connection.py
+++ b/heronstall/transport/http_connection.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 
 from heronstall.transport.connection_limits import RequestLimits
+from heronstall.transport.event_waits import expire_now
 from heronstall.transport.open_connections import OpenConnections
 
 MAX_LINE_BYTES = 65536  # of one line of a request head
@@ -136,8 +137,8 @@
         self._owner.open_connections.release(self)
         if self._partial_head_since is not None:
             self._respond_and_close(HTTPStatus.SERVICE_UNAVAILABLE)
-        elif self._reading is not None and not self._reading.expired():
-            self._reading.reschedule(asyncio.get_running_loop().time())
+        elif self._reading is not None:
+            expire_now(self._reading)
 
     def _respond_and_close(self, status: HTTPStatus) -> None:
         """Responds to a request whose head is not complete."""
--- a/tests/tier/virtual_loop.py
+++ b/tests/tier/virtual_loop.py
@@ -40,6 +40,10 @@
     def time(self) -> float:
         return self._selector_clock.now
 
+    def advance(self, seconds: float) -> None:
+        """Lets time pass without running anything, as while the process is stopped."""
+        self._selector_clock.now += seconds
+
 
 def run_virtually(main: Coroutine[Any, Any, T]) -> T:
     """Runs a coroutine to completion in virtual time, which `time.monotonic` returns too."""
