batch: a service without workers no longer takes the room of the others

Callers saw accepted jobs of a healthy service that no worker ever got, after another, small service had lost its only worker.

Cause: a dispatcher counted its room for items over all services, and its lease calls asked for items of any route. Items that could run nowhere were due first, filled the room of every dispatcher and stayed.

Change: room is counted by service. A lease call says for each service with room which routes go there and how many items are wanted; the owner keeps its queue by route and wakes a held call only for items that it wants. Calls of an earlier release get items of any route as before. The simulated dispatchers of tests send the new calls too; tests that set the number of wanted items set it for one route now.

--- a/heronstall/batch/leases.py
+++ b/heronstall/batch/leases.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from collections.abc import Mapping, Set
+from collections.abc import Collection, Iterable, Mapping, Set
 from dataclasses import dataclass
 from typing import NamedTuple, TypeAlias
 
 from sortedcontainers import SortedDict
 
 from heronstall.batch.jobs import BatchShard, Job, JobListener
+from heronstall.transport.messages import LeaseShare
 
 INITIAL_RUN_ESTIMATE = 1.0  # seconds assumed for running an item before any has been measured
 RUN_ESTIMATE_WEIGHT = 0.05  # weight of a new measurement in the running average
@@ -44,19 +45,34 @@
     lease_number: int
 
 
+class QueuePlace(NamedTuple):
+    """Where an item waits."""
+
+    queue: Queue
+    position: Position
+    route: str | None = None  # of the queue; None for the items in their retry delay
+
+
+class NextItem(NamedTuple):
+    """The item of a queue that is to be leased next. The least one of several queues goes first."""
+
+    is_overdue: bool  # it can no longer finish in time: others go first
+    position: Position
+    route: str
+
+
 class LeaseQueue(JobListener):
-    """The owner's queue of items, ordered by deadline.
+    """The owner's queue of items, ordered by deadline, for each route.
 
     It is lost when the ownership changes; all open items then wait again.
     """
 
     def __init__(self, shard: BatchShard) -> None:
         self._shard = shard
-        self._waiting: Queue = SortedDict()  # by deadline
-        self._overdue: Queue = SortedDict()  # by deadline; items that can no longer finish in time
+        self._waiting: dict[str, Queue] = {}  # by route, then by deadline; a route without items has no queue
         self._paused: Queue = SortedDict()  # by the end of the retry delay
         self._run_estimate = INITIAL_RUN_ESTIMATE  # moving average of the seconds that an item takes
-        self._queue_positions: dict[ItemKey, tuple[Queue, Position]] = {}
+        self._queue_positions: dict[ItemKey, QueuePlace] = {}
         self._leases: dict[ItemKey, Lease] = {}
         self._items_by_holder: defaultdict[str, set[ItemKey]] = defaultdict(set)
         self._last_contact: dict[str, float] = {}
@@ -71,7 +87,15 @@
     @property
     def waiting(self) -> int:
         """Number of items that may be leased now."""
-        return len(self._waiting) + len(self._overdue)
+        return sum(map(len, self._waiting.values()))
+
+    def waiting_by_route(self) -> dict[str, int]:
+        """Returns the numbers of items that may be leased now, for the routes that have any."""
+        return {route: len(queue) for route, queue in self._waiting.items()}
+
+    def waiting_items(self, route: str) -> list[ItemKey]:
+        """Returns the items of a route that may be leased now."""
+        return list(self._waiting.get(route, {}).values())
 
     def set_ownership(self, now: float, is_owner: bool, term: int = 0) -> None:
         """Starts or stops owning the shard."""
@@ -84,7 +108,6 @@
     def on_reset(self) -> None:
         """Requeues all open items."""
         self._waiting.clear()
-        self._overdue.clear()
         self._paused.clear()
         self._queue_positions.clear()
         self._leases.clear()
@@ -123,23 +146,28 @@
         return True
 
     def lease_items(
-        self, now: float, holder: str, max_items: int, max_bytes: int = MAX_REPLY_BYTES
+        self,
+        now: float,
+        holder: str,
+        max_items: int,
+        max_bytes: int = MAX_REPLY_BYTES,
+        routes: Collection[str] | None = None,
     ) -> list[LeaseGrant]:
-        """Leases waiting items, the earliest deadline first; overdue ones come last.
+        """Leases waiting items of the given routes, or of any, the earliest deadline first.
 
-        Stops once the encoded items together reach `max_bytes`.
+        Overdue items come last. Stops once the encoded items together reach `max_bytes`.
         """
         grants: list[LeaseGrant] = []
         if now < self._claim_window_end:
             return grants
         self.resume_paused(now)
-        while self._waiting and self._waiting.peekitem(0)[0][0] < now + self._run_estimate:
-            position, key = self._waiting.popitem(0)
-            self._insert(self._overdue, position, key)
         size = 0
-        while len(grants) < max_items and size < max_bytes and (self._waiting or self._overdue):
-            _, key = (self._waiting or self._overdue).popitem(0)
-            del self._queue_positions[key]
+        while len(grants) < max_items and size < max_bytes:
+            following = self._next_item(now, self._waiting if routes is None else routes)
+            if following is None:
+                break
+            key = self._waiting[following.route][following.position]
+            self._remove(key)
             job = self._shard.jobs.get(key[0])
             if job is not None and key[1] in job.open_items and not job.ended:
                 self._last_lease_number += 1
@@ -148,6 +176,32 @@
                 size += len(job.open_items[key[1]].encoded)
         return grants
 
+    def lease_shares(self, now: float, holder: str, shares: Iterable[LeaseShare]) -> list[LeaseGrant]:
+        """Leases the items of one reply: for each share, items of its routes, or of any if it names none."""
+        grants: list[LeaseGrant] = []
+        size = 0
+        for share in shares:
+            room = min(share.want, MAX_ITEMS_PER_CALL - len(grants))
+            granted = self.lease_items(now, holder, room, MAX_REPLY_BYTES - size, share.routes or None)
+            size += sum(len(grant.job.open_items[grant.item].encoded) for grant in granted)
+            grants += granted
+        return grants
+
+    def _next_item(self, now: float, routes: Iterable[str]) -> NextItem | None:
+        """Returns the item of these routes that is to be leased next."""
+        candidates = [
+            self._next_of_route(now, route, self._waiting[route])
+            for route in routes
+            if route in self._waiting
+        ]
+        return min(candidates, default=None)
+
+    def _next_of_route(self, now: float, route: str, queue: Queue) -> NextItem:
+        in_time_from = queue.bisect_left((now + self._run_estimate, 0))
+        is_overdue = in_time_from == len(queue)
+        position, _ = queue.peekitem(0 if is_overdue else in_time_from)
+        return NextItem(is_overdue, position, route)
+
     def claim(self, now: float, holder: str, running: Mapping[ItemKey, int]) -> None:
         """Leases items to a dispatcher that reports running them, possibly under a lease of an earlier owner.
 
@@ -212,7 +266,7 @@
         self._remove(key)
         delay = min(MAX_RETRY_DELAY, RETRY_DELAY * 2.0 ** (self._failure_counts[key] - 1))
         self._arrival_count += 1
-        self._insert(self._paused, (now + delay, self._arrival_count), key)
+        self._insert(QueuePlace(self._paused, (now + delay, self._arrival_count)), key)
 
     def _end_reported_lease(self, holder: str, key: ItemKey, lease_number: int) -> bool:
         """Ends the lease that a report names. Returns False if it had already ended."""
@@ -268,17 +322,19 @@
         if key in self._queue_positions:
             return
         self._arrival_count += 1
-        self._insert(
-            self._waiting, (job.accepted_at + job.record.completion_ms / 1000, self._arrival_count), key
-        )
+        queue = self._waiting.setdefault(job.record.route, SortedDict())
+        position = (job.accepted_at + job.record.completion_ms / 1000, self._arrival_count)
+        self._insert(QueuePlace(queue, position, job.record.route), key)
 
-    def _insert(self, queue: Queue, position: Position, key: ItemKey) -> None:
-        queue[position] = key
-        self._queue_positions[key] = (queue, position)
+    def _insert(self, place: QueuePlace, key: ItemKey) -> None:
+        place.queue[place.position] = key
+        self._queue_positions[key] = place
 
     def _remove(self, key: ItemKey) -> None:
-        queue, position = self._queue_positions.pop(key)
-        del queue[position]
+        place = self._queue_positions.pop(key)
+        del place.queue[place.position]
+        if place.route is not None and not place.queue:
+            del self._waiting[place.route]
 
     def _discard(self, key: ItemKey) -> None:
         if key in self._queue_positions:
--- a/heronstall/controlplane/held_calls.py
+++ b/heronstall/controlplane/held_calls.py
@@ -7,8 +7,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections import OrderedDict
-from collections.abc import Sequence
+from collections import Counter, OrderedDict
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
 from heronstall.transport.event_waits import wait_at_most
@@ -55,14 +55,22 @@
             self.wake(name)
 
 
+ANY_ROUTE = ""  # wanted by calls that take items of any route
+
+
 @dataclass(eq=False)
 class _HeldCall:
-    """A call that waits for `want` items, or for the end of one of `jobs`."""
+    """A call that waits for items of some routes, or for the end of one of `jobs`."""
 
-    want: int
+    wanted: Mapping[str, int]  # numbers of items, by route
     jobs: Sequence[str]
     superseded: bool = False
     event: asyncio.Event = field(default_factory=asyncio.Event)
+    offered_route: str | None = None  # for whose items it was woken
+
+    def want(self, route: str) -> int:
+        """Returns the number of items of a route that it wants."""
+        return self.wanted.get(route) or self.wanted.get(ANY_ROUTE, 0)
 
 
 class LeaseCalls:
@@ -73,16 +81,21 @@
 
     def __init__(self) -> None:
         self._held_calls: OrderedDict[_HeldCall, None] = OrderedDict()
+        self._held_by_route: dict[str, OrderedDict[_HeldCall, None]] = {}  # those that want items of a route
         self._latest_by_holder: dict[str, _HeldCall] = {}  # the latest call of each holder
-        self._offered = 0  # items wanted by calls that were woken and have not continued yet
+        # Items wanted by calls that were woken for a route's items and have not continued yet.
+        self._offered: Counter[str] = Counter()
 
-    async def wait_for_items(self, holder: str, want: int, jobs: Sequence[str], seconds: float) -> bool:
+    async def wait_for_items(
+        self, holder: str, wanted: Mapping[str, int], jobs: Sequence[str], seconds: float
+    ) -> bool:
         """Waits until items are available, a job has ended, the holder calls again, or the time is over.
 
-        Returns True if the holder has called again, so that the answer to this call is not needed any more.
+        `wanted` are the numbers of items by route. Returns True if the holder has called again, so that the
+        answer to this call is not needed any more.
         """
-        call = _HeldCall(want, jobs)
-        self._held_calls[call] = None
+        call = _HeldCall({route: want for route, want in wanted.items() if want}, jobs)
+        self._hold(call)
         self._latest_by_holder[holder] = call
         try:
             await wait_at_most(call.event, seconds)
@@ -90,9 +103,8 @@
             if self._latest_by_holder.get(holder) is call:
                 del self._latest_by_holder[holder]
             if call in self._held_calls:
-                del self._held_calls[call]
-            else:
-                self._offered -= want
+                self._release(call)
+            self._end_offer(call)
         return call.superseded
 
     def supersede(self, holder: str) -> None:
@@ -104,12 +116,12 @@
         if call in self._held_calls:
             self._wake(call)
 
-    def offer(self, items: int) -> None:
-        """Wakes calls for the waiting items that no call was woken for yet."""
-        for call in list(self._held_calls):
-            if self._offered >= items:
-                return
-            if call.want:
+    def offer(self, waiting: Mapping[str, int]) -> None:
+        """Wakes calls for the waiting items, given by route, that no call was woken for yet."""
+        for route, items in waiting.items():
+            while self._offered[route] < items and (call := self._first_call_for(route)):
+                call.offered_route = route
+                self._offered[route] += call.want(route)
                 self._wake(call)
 
     def wake_for_ended_jobs(self, jobs: set[str]) -> None:
@@ -123,7 +135,31 @@
         for call in list(self._held_calls):
             self._wake(call)
 
-    def _wake(self, call: _HeldCall) -> None:
+    def _first_call_for(self, route: str) -> _HeldCall | None:
+        calls = self._held_by_route.get(route) or self._held_by_route.get(ANY_ROUTE)
+        return next(iter(calls)) if calls else None
+
+    def _hold(self, call: _HeldCall) -> None:
+        self._held_calls[call] = None
+        for route in call.wanted:
+            self._held_by_route.setdefault(route, OrderedDict())[call] = None
+
+    def _release(self, call: _HeldCall) -> None:
         del self._held_calls[call]
-        self._offered += call.want
+        for route in call.wanted:
+            calls = self._held_by_route[route]
+            del calls[call]
+            if not calls:
+                del self._held_by_route[route]
+
+    def _end_offer(self, call: _HeldCall) -> None:
+        route = call.offered_route
+        if route is None:
+            return
+        self._offered[route] -= call.want(route)
+        if not self._offered[route]:
+            del self._offered[route]
+
+    def _wake(self, call: _HeldCall) -> None:
+        self._release(call)
         call.event.set()
--- a/heronstall/controlplane/store.py
+++ b/heronstall/controlplane/store.py
@@ -14,10 +14,10 @@
 from heronstall.batch import jobs as batch
 from heronstall.batch.items import StoredItem, stored_items
 from heronstall.batch.jobs import BatchShard, Job, JobListener
-from heronstall.batch.leases import MAX_ITEMS_PER_CALL, LeaseQueue
+from heronstall.batch.leases import LeaseQueue
 from heronstall.batch.outcomes import Outcome
 from heronstall.config import NodeSettings
-from heronstall.controlplane.held_calls import CallsByName, LeaseCalls
+from heronstall.controlplane.held_calls import ANY_ROUTE, CallsByName, LeaseCalls
 from heronstall.controlplane.hosting import Superseded
 from heronstall.controlplane.replica_node import ReplicaNode
 from heronstall.distribution.view import ControlStateView
@@ -32,6 +32,7 @@
     LeasedItem,
     LeaseReply,
     LeaseRequest,
+    LeaseShare,
     ReadReply,
     ReadRequest,
     Session,
@@ -96,7 +97,7 @@
             self.lease_calls.wake_for_ended_jobs(self._ended_jobs)
         self._changed_jobs.clear()
         self._ended_jobs.clear()
-        self.lease_calls.offer(self.leases.waiting)
+        self.lease_calls.offer(self.leases.waiting_by_route())
 
     def wake_all(self) -> None:
         """Wakes all held calls, since this node may not own the shard any more."""
@@ -334,16 +335,18 @@
         if not self._begin_call(owned, request):
             return SUPERSEDED_CALL_REPLY
         owned.lease_calls.supersede(holder)
+        shares = request.shares or [LeaseShare([], request.want)]  # of an earlier release: items of any route
+        wanted = {route: share.want for share in shares for route in share.routes or [ANY_ROUTE]}
         while self._owned_shard(request.shard) is owned:
             leases.record_contact(self.host.now(), holder)
             leases.claim(self.host.now(), holder, running)
-            granted = leases.lease_items(self.host.now(), holder, min(request.want, MAX_ITEMS_PER_CALL))
+            granted = leases.lease_shares(self.host.now(), holder, shares)
             ended = [name for name in request.jobs if self._has_ended(owned, name)]
             remaining = deadline - self.host.now()
             if granted or ended or remaining <= 0:
                 items = [_leased_item(*lease) for lease in granted]
                 return Reply(Status.OK, bytes(LeaseReply(items, ended, leases.waiting)))
-            if await owned.lease_calls.wait_for_items(holder, request.want, request.jobs, remaining):
+            if await owned.lease_calls.wait_for_items(holder, wanted, request.jobs, remaining):
                 return SUPERSEDED_CALL_REPLY
         return self._not_owner_reply(request.shard)
 
--- a/heronstall/dataplane/batch_runner.py
+++ b/heronstall/dataplane/batch_runner.py
@@ -5,6 +5,7 @@
 import asyncio
 import secrets
 import time
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -42,6 +43,7 @@
     LeasedItem,
     LeaseReply,
     LeaseRequest,
+    LeaseShare,
 )
 
 log = structlog.get_logger()
@@ -70,6 +72,7 @@
     leased: LeasedItem
     request: BatchItem
     shard: str
+    service: str = ""  # whose room it takes: of its latest worker, or where it is expected to run
     event_data: list[bytes] = field(default_factory=list)
     last_event: int | None = None
     leased_at: float = field(default_factory=time.monotonic)
@@ -173,9 +176,9 @@
         while not self.stopping:
             slot_freed = self._slot_freed
             limit = self._lease_limits.get(shard, MAX_ITEMS_PER_CALL)
-            want = min(limit, self._wanted_count(shard))
+            shares = limit_shares(self._lease_shares(shard), limit)
             began = time.monotonic()
-            reply = await self._request_leases(shard, want, slot_freed)
+            reply = await self._request_leases(shard, shares, slot_freed)
             if reply is None:
                 await asyncio.sleep(SLOT_GATHER_S)
                 continue
@@ -188,8 +191,8 @@
             leases = LeaseReply().parse(reply.body)
             for job in leases.ended:
                 self._cancel_job(job)
-            if want:
-                self._update_time_left(leases, backlog=len(leases.items) >= want)
+            if shares:
+                self._update_time_left(leases, backlog=_fills_a_share(leases, shares))
             for leased in leases.items:
                 self._start(shard, leased)
             if leases.ended:
@@ -209,52 +212,70 @@
         routes = self._routes().by_host.get(leased.host, ())
         return next((route for route in routes if route.name == leased.route), None)
 
-    async def _request_leases(self, shard: str, want: int, slot_freed: asyncio.Event) -> Reply | None:
+    async def _request_leases(
+        self, shard: str, shares: list[LeaseShare], slot_freed: asyncio.Event
+    ) -> Reply | None:
         """Returns the owner's reply, or None if no item was requested and a slot has been freed meanwhile.
 
         The owner ends a call that it holds when it receives the next one.
         """
-        body = bytes(self._lease_request(shard, want))
+        body = bytes(self._lease_request(shard, shares))
         call = asyncio.create_task(
             self._shards.call(shard, Kind.LEASE, body, POLL_TIMEOUT_S, POLL_HOLD_S, POLL_HOLD_S)
         )
         slot_wait = asyncio.create_task(slot_freed.wait())
         try:
-            awaited = (call,) if want else (call, slot_wait)
+            awaited = (call,) if shares else (call, slot_wait)
             await asyncio.wait(awaited, return_when=asyncio.FIRST_COMPLETED)
             return call.result() if call.done() else None
         finally:
             slot_wait.cancel()
             call.cancel()
 
-    def _lease_request(self, shard: str, want: int) -> LeaseRequest:
+    def _lease_request(self, shard: str, shares: list[LeaseShare]) -> LeaseRequest:
         """Builds a lease call. It lists all leases that have reached this dispatcher."""
         self._calls += 1
         held = [r for r in self._running.values() if r.shard == shard]
         reports = [*self._sent_reports.get(shard, ()), *self._reports.get(shard, ())]
         return LeaseRequest(
             holder=self.holder,
-            want=want,
+            want=sum(share.want for share in shares),
             wait_ms=int(POLL_HOLD_S * 1000),
             jobs=sorted({r.leased.job for r in held}),
             shard=shard,
             held=[ItemName(r.leased.job, r.request.id, r.leased.lease) for r in held],
             call=self._calls,
             reported=[ItemName(r.job, r.item, r.lease) for r in reports],
+            shares=shares,
         )
 
-    def _wanted_count(self, shard: str) -> int:
-        slots = 0
-        for service in {
-            t[0] for h in self._routes().by_host.values() for r in h for t in self._targets(r, shard)
-        }:
-            slots += self._admission.max_leased_items(service)
-        return max(0, slots - len(self._running))
+    def _lease_shares(self, shard: str) -> list[LeaseShare]:
+        """Returns the items of a shard that this dispatcher has room for, by service.
 
-    @staticmethod
-    def _targets(route: Route, shard: str) -> tuple[tuple[str, float], ...]:
-        of_shard = route.type is RouteType.BATCH and batch_shard(route.host) == shard
-        return route.targets if of_shard else ()
+        Items that wait for a worker take the room of their own service alone, however long they wait. The
+        order changes from call to call, since a reply may be too small for the items of all services.
+        """
+        routes: dict[str, list[str]] = {}
+        for route in self._routes().batch_routes():
+            if batch_shard(route.host) == shard:
+                for service in route.services:
+                    routes.setdefault(service, []).append(route.name)
+        shares = [
+            LeaseShare(names, room) for service, names in routes.items() if (room := self._room(service)) > 0
+        ]
+        first = self._calls % len(shares) if shares else 0
+        return shares[first:] + shares[:first]
+
+    def _room(self, service: str) -> int:
+        """Returns the number of items of a service that this dispatcher may lease; below 0 if it has more."""
+        held = sum(item.service == service for item in self._running.values())
+        return self._admission.max_leased_items(service) - held
+
+    def _expected_service(self, leased: LeasedItem) -> str:
+        """Returns the service at which a leased item is expected to run: the one with the most room."""
+        route = self._batch_route(leased)
+        services = route.services if route is not None else ()
+        return services[0] if len(services) == 1 else max(services, key=self._room, default="")
 
     def _start(self, shard: str, leased: LeasedItem) -> None:
         request = BatchItem().parse(leased.item)
@@ -263,7 +284,8 @@
         if known is not None:
             known.leased.lease = leased.lease
             return
-        item = self._running[key] = RunningItem(leased, request, shard)
+        item = RunningItem(leased, request, shard, self._expected_service(leased))
+        self._running[key] = item
         item.task = asyncio.create_task(self._run(key, item))
         # a task that is cancelled before it first runs does not execute its own cleanup
         item.task.add_done_callback(lambda _: self._report_end(key, item, Outcome.RETURNED))
@@ -335,6 +357,7 @@
                 await asyncio.sleep(pause)
                 pause = min(0.4, pause * 1.5)
                 continue
+            item.service = service
             outcome = await self._attempt(item, worker)
             if outcome is not None:
                 return outcome
@@ -432,6 +455,23 @@
         item.event_data.append(data)
 
 
+def limit_shares(shares: list[LeaseShare], most: int) -> list[LeaseShare]:
+    """Returns the shares with at most this many items together; the first ones are kept."""
+    limited = []
+    for share in shares:
+        want = min(share.want, most)
+        most -= want
+        if want:
+            limited.append(LeaseShare(share.routes, want))
+    return limited
+
+
+def _fills_a_share(leases: LeaseReply, shares: list[LeaseShare]) -> bool:
+    """Returns whether as many items of some service were leased as wanted, so that others may be waiting."""
+    leased = Counter(item.route for item in leases.items)
+    return any(sum(leased[route] for route in share.routes) >= share.want for share in shares)
+
+
 def _summary(item: RunningItem, outcome: Outcome) -> EndedItem:
     return EndedItem(
         job=item.leased.job,
--- a/heronstall/dataplane/routing.py
+++ b/heronstall/dataplane/routing.py
@@ -56,6 +56,11 @@
         """Whether a request of this route may run more than once."""
         return self.type is RouteType.IDEMPOTENT or self.resumes_streams
 
+    @property
+    def services(self) -> tuple[str, ...]:
+        """The services that receive traffic."""
+        return tuple({service: None for service, weight in self.targets if weight > 0})
+
     def draw_service(self, rng: random.Random) -> str:
         """Returns a service drawn by the route's traffic weights."""
         if len(self.targets) == 1:
@@ -97,9 +102,13 @@
         shortest = min(r.target_latency for r in live)
         return route.priority > top or route.target_latency >= DEFERRABLE_LATENCY_RATIO * shortest
 
+    def batch_routes(self) -> list[Route]:
+        """Returns the routes for batch jobs."""
+        return [r for routes in self.by_host.values() for r in routes if r.type is RouteType.BATCH]
+
     def batch_hosts(self) -> set[str]:
         """Returns the hosts that have a route for batch jobs."""
-        return {h for h, routes in self.by_host.items() if any(r.type is RouteType.BATCH for r in routes)}
+        return {route.host for route in self.batch_routes()}
 
 
 def normalize_host(host: str) -> str:
--- a/heronstall/transport/messages.py
+++ b/heronstall/transport/messages.py
@@ -354,7 +354,8 @@
     `call` rises with each call of a holder; 0 from a holder that does not
     number its calls. `held` are the items that it runs, `reported` those whose
     report its owner has not acknowledged: other leases of the holder were lost
-    on their way to it.
+    on their way to it. `want` is the sum of the `shares`; a holder of an
+    earlier release sends no `shares` and wants items of any route.
     """
 
     holder: str = betterproto.string_field(1)
@@ -365,6 +366,18 @@
     held: List["ItemName"] = betterproto.message_field(6)
     call: int = betterproto.uint64_field(7)
     reported: List["ItemName"] = betterproto.message_field(8)
+    shares: List["LeaseShare"] = betterproto.message_field(9)
+
+
+@dataclass
+class LeaseShare(betterproto.Message):
+    """
+    Items that a dispatcher has room for at one service: those of the routes to
+    it.
+    """
+
+    routes: List[str] = betterproto.string_field(1)
+    want: int = betterproto.uint32_field(2)
 
 
 @dataclass
--- a/tests/tier/lease_model.py
+++ b/tests/tier/lease_model.py
@@ -22,9 +22,16 @@
 from heronstall.batch.outcomes import Outcome
 from heronstall.controlplane.store import OwnedShard, Store
 from heronstall.dataplane.batch_runner import BatchRunner, RunningItem
-from heronstall.transport.messages import BatchItem, BatchJob, ItemReport, LeasedItem, LeaseRequest
-
-SHARD, JOB, EDGE = "batch-0", "job", "edge"
+from heronstall.transport.messages import (
+    BatchItem,
+    BatchJob,
+    ItemReport,
+    LeasedItem,
+    LeaseRequest,
+    LeaseShare,
+)
+
+SHARD, JOB, ROUTE, EDGE = "batch-0", "job", "lots", "edge"
 MAX_ATTEMPTS = 2
 DELIVERIES = 2  # times that one message may be delivered
 WANT = 1  # items requested per call
@@ -87,7 +94,7 @@
         self.now = 1000.0
         self.state = BatchShard(lambda: self.now, lambda: self.now)
         listed = [BatchItem(id=f"i{k}", path="/p", tokens=1) for k in range(items)]
-        record = BatchJob(id=JOB, host="h", completion_ms=8000, max_attempts=MAX_ATTEMPTS)
+        record = BatchJob(id=JOB, route=ROUTE, host="h", completion_ms=8000, max_attempts=MAX_ATTEMPTS)
         set_items(record, listed)
         self.state.apply(1, batch.encode_accept(record))
         self.applied = 1
@@ -118,7 +125,7 @@
         self.leases.record_contact(self.now, EDGE)
         self.leases.claim(self.now, EDGE, {(h.job, h.item): h.lease for h in request.held})
         return tuple(
-            (item, number) for _, item, number in self.leases.lease_items(self.now, EDGE, request.want)
+            (item, number) for _, item, number in self.leases.lease_shares(self.now, EDGE, request.shares)
         )
 
     def handle_report(self, entries: tuple[tuple[str, Outcome, int], ...]) -> None:
@@ -189,7 +196,7 @@
         runner._running[JOB, item] = RunningItem(leased, BatchItem(id=item), SHARD)
     runner._reports[SHARD] = [ItemReport(JOB, i, o, b"", n) for i, o, n in edge.unsent_reports]
     runner._sent_reports[SHARD] = [ItemReport(JOB, i, o, b"", n) for i, o, n in edge.unacknowledged]
-    return bytes(runner._lease_request(SHARD, WANT))
+    return bytes(runner._lease_request(SHARD, [LeaseShare([ROUTE], WANT)]))
 
 
 def call(model: ModelState) -> ModelState:
--- a/tests/tier/store_simulation.py
+++ b/tests/tier/store_simulation.py
@@ -37,6 +37,7 @@
     ItemReport,
     LeaseReply,
     LeaseRequest,
+    LeaseShare,
     ReadReply,
     ReadRequest,
     SubmitRequest,
@@ -349,14 +350,16 @@
 
     async def _lease(self) -> None:
         self._calls += 1
+        want = MAX_RUNNING_ITEMS - len(self._running)
         request = LeaseRequest(
             holder=self._holder,
-            want=MAX_RUNNING_ITEMS - len(self._running),
+            want=want,
             wait_ms=int(LEASE_CALL_HOLD * 1000),
             shard=self._shard,
             held=[ItemName(job, item, lease) for (job, item), lease in self._running.items()],
             call=self._calls,
             reported=[ItemName(report.job, report.item) for report in self._unreported],
+            shares=[LeaseShare([ROUTE], want)],
         )
         reply = await self._dispatcher.shards.call(
             self._shard,
--- a/tests/tier/test_batch_runner.py
+++ b/tests/tier/test_batch_runner.py
@@ -18,10 +18,16 @@
     LeasedItem,
     LeaseReply,
     LeaseRequest,
+    LeaseShare,
 )
 from tests.tier.test_routing import sample_routes
 
 
+def shares(want: int) -> list[LeaseShare]:
+    """Returns the share of a dispatcher with room for items of a single service."""
+    return [LeaseShare(["lots"], want)]
+
+
 class ItemsOfRoutes(unittest.IsolatedAsyncioTestCase):
     async def outcome(self, configurations: list[Routes], view_is_newer: bool) -> Outcome:
         """Returns the outcome of an item of route `lots` after these configurations were applied in turn.
@@ -63,7 +69,7 @@
 
     def setUp(self) -> None:
         self.shards = mock.Mock()
-        self.runner = BatchRunner("edge", self.shards, mock.Mock(), mock.Mock(), mock.Mock())
+        self.runner = BatchRunner("edge", self.shards, mock.Mock(), mock.Mock(), Routes)
 
     def add_running(self, name: str, lease: int) -> None:
         leased = LeasedItem(job="j", lease=lease)
@@ -71,27 +77,27 @@
 
     def test_call_lists_held_leases_and_is_numbered(self) -> None:
         self.add_running("i", 7)
-        first = self.runner._lease_request("batch-0", 2)
-        second = self.runner._lease_request("batch-0", 2)
+        first = self.runner._lease_request("batch-0", shares(2))
+        second = self.runner._lease_request("batch-0", shares(2))
         self.assertEqual([(h.job, h.item, h.lease) for h in first.held], [("j", "i", 7)])
         self.assertGreater(second.call, first.call)
-        self.assertEqual(self.runner._lease_request("batch-1", 2).held, [])
+        self.assertEqual(self.runner._lease_request("batch-1", shares(2)).held, [])
 
     async def test_report_is_listed_until_it_is_acknowledged(self) -> None:
         listed: list[list[str]] = []
 
         async def call(*_: object, **__: object) -> Reply:
-            listed.append([r.item for r in self.runner._lease_request("batch-0", 0).reported])
+            listed.append([r.item for r in self.runner._lease_request("batch-0", []).reported])
             return Reply(Status.UNSURE if len(listed) == 1 else Status.OK)
 
         self.shards.call = call
         self.runner._reports["batch-0"] = [ItemReport("j", "i", Outcome.FAILED, b"", 7)]
         with mock.patch("heronstall.dataplane.batch_runner.REPORT_RETRY_DELAY_S", 0):
             await self.runner._send_reports("batch-0")
-            self.assertEqual([r.item for r in self.runner._lease_request("batch-0", 0).reported], ["i"])
+            self.assertEqual([r.item for r in self.runner._lease_request("batch-0", []).reported], ["i"])
             await self.runner._send_reports("batch-0")
         self.assertEqual(listed, [["i"], ["i"]])
-        self.assertEqual(self.runner._lease_request("batch-0", 0).reported, [])
+        self.assertEqual(self.runner._lease_request("batch-0", []).reported, [])
 
     async def test_item_that_arrives_during_stop_is_returned(self) -> None:
         """Stopping cancels tasks, and a task that has not started to run does not execute its own cleanup."""
@@ -109,7 +115,7 @@
                 for _ in range(5):
                     await asyncio.sleep(0)
                 self.assertEqual(self.runner.running_count, 0)
-                reports = self.runner._lease_request("batch-0", 0).reported
+                reports = self.runner._lease_request("batch-0", []).reported
                 self.assertEqual([(r.item, r.lease) for r in reports], [("i", 9)])
 
     async def finish_duration(self, acknowledged_after: float) -> float:
@@ -153,13 +159,13 @@
             await asyncio.sleep(600)
             raise AssertionError("a call that requests no items was awaited")
 
-        def want(_shard: str) -> int:
+        def want(_shard: str) -> list[LeaseShare]:
             if not requested and freed_during == "counting":
                 self.runner._announce_free_slot()
-            return 2 if requested else 0
+            return shares(2) if requested else []
 
         self.shards.call = call
-        with mock.patch.object(self.runner, "_wanted_count", side_effect=want):
+        with mock.patch.object(self.runner, "_lease_shares", side_effect=want):
             async with asyncio.timeout(30):
                 await self.runner._poll("batch-0")
         return requested
@@ -189,14 +195,14 @@
 
         self.shards.call = call
         no_pause = mock.patch("heronstall.dataplane.batch_runner.POLL_RETRY_DELAY_S", 0)
-        with no_pause, mock.patch.object(self.runner, "_wanted_count", return_value=48):
+        with no_pause, mock.patch.object(self.runner, "_lease_shares", return_value=shares(48)):
             await self.runner._poll("batch-0")
         self.assertEqual(requested, [48, 32, 16, 8, 16])
 
     async def test_repeated_lease_updates_the_lease_number(self) -> None:
         self.add_running("i", 7)
         self.runner._start("batch-0", LeasedItem(job="j", item=bytes(BatchItem(id="i")), lease=9))
-        self.assertEqual([h.lease for h in self.runner._lease_request("batch-0", 0).held], [9])
+        self.assertEqual([h.lease for h in self.runner._lease_request("batch-0", []).held], [9])
 
 
 if __name__ == "__main__":
