batch: dispatchers let go of items that have been given up or finished

Callers of a service saw its room taken for good by old items: what the owner gave up after retention_s stayed at the dispatchers that held it, which went on to offer it to workers.

Cause: replies to lease calls named ended jobs, but not single items that had got their result, by retention or from another dispatcher.

Change: a reply names the held items that are closed; their runs end. Dispatchers of an earlier release ignore the new field.

--- a/heronstall/controlplane/store.py
+++ b/heronstall/controlplane/store.py
@@ -27,6 +27,7 @@
 from heronstall.transport.messages import (
     FinishRequest,
     Hint,
+    ItemName,
     ItemReport,
     ItemResult,
     LeasedItem,
@@ -342,10 +343,11 @@
             leases.claim(self.host.now(), holder, running)
             granted = leases.lease_shares(self.host.now(), holder, shares)
             ended = [name for name in request.jobs if self._has_ended(owned, name)]
+            closed = [name for name in request.held if self._is_closed(owned, name)]
             remaining = deadline - self.host.now()
-            if granted or ended or remaining <= 0:
+            if granted or ended or closed or remaining <= 0:
                 items = [_leased_item(*lease) for lease in granted]
-                return Reply(Status.OK, bytes(LeaseReply(items, ended, leases.waiting)))
+                return Reply(Status.OK, bytes(LeaseReply(items, ended, leases.waiting, closed)))
             if await owned.lease_calls.wait_for_items(holder, wanted, request.jobs, remaining):
                 return SUPERSEDED_CALL_REPLY
         return self._not_owner_reply(request.shard)
@@ -370,6 +372,12 @@
         job = owned.state.jobs.get(name)
         return job is None or job.ended
 
+    @staticmethod
+    def _is_closed(owned: OwnedShard, name: ItemName) -> bool:
+        """Returns whether an item has its result: it was given up, or another dispatcher has finished it."""
+        job = owned.state.jobs.get(name.job)
+        return job is not None and name.item not in job.open_items
+
     async def _report_items(self, owned: OwnedShard, request: FinishRequest) -> Reply:
         now, holder = self.host.now(), request.holder
         owned.leases.record_contact(now, holder)
--- a/heronstall/dataplane/batch_runner.py
+++ b/heronstall/dataplane/batch_runner.py
@@ -191,12 +191,14 @@
             leases = LeaseReply().parse(reply.body)
             for job in leases.ended:
                 self._cancel_job(job)
+            for name in leases.closed:
+                self._cancel_item(name)
             if shares:
                 self._update_time_left(leases, backlog=_fills_a_share(leases, shares))
             for leased in leases.items:
                 self._start(shard, leased)
-            if leases.ended:
-                await wait_at_most(slot_freed, POLL_HOLD_S)  # until the runs of ended jobs are cancelled
+            if leases.ended or leases.closed:
+                await wait_at_most(slot_freed, POLL_HOLD_S)  # until the runs are cancelled
 
     def _update_time_left(self, leases: LeaseReply, backlog: bool) -> None:
         """Updates the item limits with the time left of leased items. Items that are late are not urgent."""
@@ -292,6 +294,11 @@
         if self.stopping:
             item.task.cancel()  # the lease call was in flight when the shutdown began
 
+    def _cancel_item(self, name: ItemName) -> None:
+        item = self._running.get((name.job, name.item))
+        if item is not None and item.task is not None:
+            item.task.cancel()
+
     def _cancel_job(self, job: str) -> None:
         for key, item in list(self._running.items()):
             if key[0] == job and item.task is not None:
--- a/heronstall/transport/messages.py
+++ b/heronstall/transport/messages.py
@@ -399,9 +399,15 @@
 
 @dataclass
 class LeaseReply(betterproto.Message):
+    """
+    `ended` are jobs, `closed` items that the holder said it holds: no result
+    of these is wanted any more.
+    """
+
     items: List["LeasedItem"] = betterproto.message_field(1)
     ended: List[str] = betterproto.string_field(2)
     waiting: int = betterproto.uint32_field(3)
+    closed: List["ItemName"] = betterproto.message_field(4)
 
 
 @dataclass
--- a/tests/tier/batch_play.py
+++ b/tests/tier/batch_play.py
@@ -21,6 +21,7 @@
 from multidict import CIMultiDict
 
 from heronstall.batch.items import set_items
+from heronstall.batch.outcomes import Outcome
 from heronstall.config import node_settings
 from heronstall.controlplane.store import Store
 from heronstall.dataplane.admission import Admission
@@ -34,7 +35,14 @@
 from heronstall.distribution.shards import batch_shard
 from heronstall.transport.frames import Kind, Status
 from heronstall.transport.links import CALL_FAILED, LargeReply, Reply
-from heronstall.transport.messages import BatchItem, BatchJob, SubmitRequest, Worker
+from heronstall.transport.messages import (
+    BatchItem,
+    BatchJob,
+    FinishRequest,
+    ItemReport,
+    SubmitRequest,
+    Worker,
+)
 
 HOST = "counter.example"
 SHARD = batch_shard(HOST)
@@ -175,6 +183,12 @@
         reply = await self.call(SHARD, Kind.SUBMIT, bytes(submission), 3.0)
         assert reply.status == Status.OK, reply.status
 
+    async def finish_elsewhere(self, job: str, item: str) -> None:
+        """Reports an item as done by another dispatcher, which had leased it before."""
+        report = ItemReport(job, item, Outcome.DONE, b"text")
+        reply = await self.call(SHARD, Kind.FINISH, bytes(FinishRequest("other", [report], SHARD)), 3.0)
+        assert reply.status == Status.OK, reply.status
+
     def results(self, name: str) -> dict[str, bool]:
         """Returns the listed items of a job, each with whether it succeeded."""
         return {result.item: result.succeeded for result in self.store.shards[SHARD].state.jobs[name].results}
