batch: items are not broken off while their prompt is read

Callers saw jobs with long prompts that were never done at night: each item was broken off after 0.5 to 0.7 s and begun anew, for ever.

Cause: an item's attempt was begun without the length of its prompt, so no time was allowed for reading it; and the limit was the same at every attempt, so that no later first event was ever waited for.

Change: items state their prompt as live requests do, and each attempt that was ended for silence doubles the time that the item's next one may be silent. The first attempt leaves a dark worker as soon as before.

--- a/heronstall/dataplane/attempts.py
+++ b/heronstall/dataplane/attempts.py
@@ -36,6 +36,7 @@
     sent_at: float
     last_data_at: float
     prefill_allowance: float = 0.0  # seconds that the worker may need for the prompt before the first data
+    patience: float = 1.0  # factor by which silence is tolerated for longer than usual
     worker: str = ""
     load: LoadSnapshot | None = None
     home_rank: int | None = None  # rank of the worker among the homes of the shared segment, from 0
@@ -57,16 +58,17 @@
     active: set[Attempt] = field(default_factory=set)
     last_data_at: float = 0.0  # when the worker last sent data on any connection
 
-    def begin(self, timeout: asyncio.Timeout, max_silence: float | None, prompt_tokens: int = 0) -> Attempt:
+    def begin(
+        self,
+        timeout: asyncio.Timeout,
+        max_silence: float | None,
+        prompt_tokens: int = 0,
+        patience: float = 1.0,
+    ) -> Attempt:
         """Registers an attempt that is being sent."""
         now = time.monotonic()
-        attempt = Attempt(
-            timeout,
-            max_silence,
-            now,
-            now,
-            min(MAX_PREFILL_ALLOWANCE_S, prompt_tokens / MIN_PREFILL_TOKENS_PER_SECOND),
-        )
+        allowance = min(MAX_PREFILL_ALLOWANCE_S, prompt_tokens / MIN_PREFILL_TOKENS_PER_SECOND)
+        attempt = Attempt(timeout, max_silence, now, now, allowance, patience)
         self.active.add(attempt)
         return attempt
 
@@ -106,7 +108,7 @@
             a
             for a in self.active
             if a.max_silence is not None
-            and now - a.last_data_at > min(limit, a.max_silence) + _remaining_allowance(a)
+            and now - a.last_data_at > (min(limit, a.max_silence) + _remaining_allowance(a)) * a.patience
         ]
         for attempt in silent:
             self.finish(attempt)
--- a/heronstall/dataplane/batch_runner.py
+++ b/heronstall/dataplane/batch_runner.py
@@ -24,10 +24,11 @@
     PROMPT_PREFIX_HEADER,
     REQUEST_ID_HEADER,
     TARGET_HEADER,
+    TOKEN_USAGE_HEADER,
 )
 from heronstall.dataplane.framing import is_framed
 from heronstall.dataplane.misses import EndedItem, MissLog
-from heronstall.dataplane.prefixes import SharedPrefix, parse_shared_prefix
+from heronstall.dataplane.prefixes import SharedPrefix, parse_shared_prefix, parse_token_usage
 from heronstall.dataplane.routing import Route, Routes, RouteType
 from heronstall.dataplane.shard_client import ShardClient
 from heronstall.dataplane.workers import UnsendablePath, WorkerState, record_target
@@ -55,6 +56,9 @@
 SLOT_GATHER_S = 0.45
 OWNER_STALE_S = 1.5  # without a reply of the owner, after which no item is started
 EXPECTED_RUN_TIME_S = 1.5  # approximate run time of an item
+# Factor by which an item's next attempt waits longer after one that was ended for silence. The worker may be
+# slow rather than dark, and an item that is always ended before its first event would never be done.
+SILENCE_BACKOFF = 2.0
 VIEW_UPDATE_TIMEOUT_S = (
     2.0  # without a control node's answer, after which an item without a route is returned
 )
@@ -78,6 +82,7 @@
     leased_at: float = field(default_factory=time.monotonic)
     started_at: float = 0.0  # monotonic time at which it left the deferred queue; 0 before
     attempts: list[Attempt] = field(default_factory=list)
+    silent_attempts: int = 0  # those that were ended since their worker was silent
     task: asyncio.Task[None] | None = None
 
 
@@ -397,7 +402,9 @@
         attempt: Attempt | None = None
         try:
             async with asyncio.timeout(None) as limit:
-                attempt = worker.attempts.begin(limit, ITEM_SILENCE_S)
+                attempt = worker.attempts.begin(
+                    limit, ITEM_SILENCE_S, _prompt_tokens(item.request), SILENCE_BACKOFF**item.silent_attempts
+                )
                 record_target(attempt, worker)
                 item.attempts.append(attempt)
                 upstream = await worker.request(
@@ -409,6 +416,8 @@
         except UnsendablePath:
             return Outcome.UNPROCESSABLE
         except (aiohttp.ClientError, ConnectionError, TimeoutError):
+            if attempt is not None and attempt.timeout.expired():
+                item.silent_attempts += 1
             admission.record_failure(worker)
             return None
         finally:
@@ -492,9 +501,17 @@
     )
 
 
+def _header(request: BatchItem, name: str) -> str:
+    return next((h.value for h in request.headers if h.name.lower() == name.lower()), "")
+
+
 def _prefix(request: BatchItem) -> SharedPrefix:
-    value = next((h.value for h in request.headers if h.name.lower() == PROMPT_PREFIX_HEADER.lower()), "")
-    return parse_shared_prefix(value)
+    return parse_shared_prefix(_header(request, PROMPT_PREFIX_HEADER))
+
+
+def _prompt_tokens(request: BatchItem) -> int:
+    """Returns the length of an item's prompt, or a limit of it if no header states the length."""
+    return parse_token_usage(_header(request, TOKEN_USAGE_HEADER)).prompt or request.tokens
 
 
 def _headers(item: RunningItem, worker: WorkerState) -> CIMultiDict[str]:
--- a/heronstall/dataplane/forwarding.py
+++ b/heronstall/dataplane/forwarding.py
@@ -19,10 +19,14 @@
 from heronstall.dataplane.events import EventReader
 from heronstall.dataplane.framing import is_framed
 from heronstall.dataplane.misses import EndedRequest, MissLog, RequestTimes
-from heronstall.dataplane.prefixes import SharedPrefix, parse_shared_prefix
+from heronstall.dataplane.prefixes import (
+    SharedPrefix,
+    TokenUsage,
+    parse_shared_prefix,
+    parse_token_usage,
+)
 from heronstall.dataplane.prompt_placement import PlacedPrompt, PromptPlacer
 from heronstall.dataplane.routing import Route, RouteType
-from heronstall.dataplane.whole_numbers import parse_whole_number
 from heronstall.dataplane.workers import UnsendablePath, WorkerPool, WorkerState, record_target
 
 log = structlog.get_logger()
@@ -97,14 +101,9 @@
         return parse_shared_prefix(self.request.headers.get(PROMPT_PREFIX_HEADER, ""))
 
     @cached_property
-    def prompt_tokens(self) -> int:
-        """The prompt's length in tokens; 0 if the request does not state it."""
-        return parse_whole_number(self.request.headers.get(TOKEN_USAGE_HEADER, "").partition(",")[0]) or 0
-
-    @property
-    def output_tokens(self) -> int:
-        """The maximum length of the output in tokens; 0 if the request does not state it."""
-        return parse_whole_number(self.request.headers.get(TOKEN_USAGE_HEADER, "").partition(",")[2]) or 0
+    def tokens(self) -> TokenUsage:
+        """The lengths that the request states."""
+        return parse_token_usage(self.request.headers.get(TOKEN_USAGE_HEADER, ""))
 
     def summary(self, status: int) -> EndedRequest:
         """Returns the record of the ended request. A status of 0 means that no response was sent."""
@@ -112,8 +111,8 @@
             request_id=self.request.headers.get(REQUEST_ID_HEADER, ""),
             route=self.route,
             prefix=self.prefix,
-            prompt_tokens=self.prompt_tokens,
-            output_tokens=self.output_tokens,
+            prompt_tokens=self.tokens.prompt,
+            output_tokens=self.tokens.output,
             times=RequestTimes(self.arrived_at, self.deferred, self.worker_wait),
             attempts=self.attempts,
             planned=self.placement is not None,
@@ -210,7 +209,7 @@
 
     async def _pick_planned_worker(self, placer: PromptPlacer, context: RequestContext) -> WorkerState | None:
         """Returns the worker that the planner chose for a large prompt, if this dispatcher can use it."""
-        placement = await placer.place(context.service, context.prefix, context.prompt_tokens)
+        placement = await placer.place(context.service, context.prefix, context.tokens.prompt)
         worker = (
             self._admission.usable_worker(placement.worker, context.service)
             if placement is not None
@@ -260,7 +259,7 @@
         try:
             async with asyncio.timeout(context.deadline - time.monotonic()) as limit:
                 silence_limit = REQUEST_SILENCE_S if context.may_repeat else None
-                context.attempt = worker.attempts.begin(limit, silence_limit, context.prompt_tokens)
+                context.attempt = worker.attempts.begin(limit, silence_limit, context.tokens.prompt)
                 record_target(context.attempt, worker, self._admission.home_rank(worker, context.prefix))
                 context.attempts.append(context.attempt)
                 upstream = await worker.request(
--- a/heronstall/dataplane/prefixes.py
+++ b/heronstall/dataplane/prefixes.py
@@ -1,4 +1,4 @@
-"""Parses the header that names the shared segments of a prompt."""
+"""Parses the headers that describe a prompt: its length and its shared segments."""
 
 from __future__ import annotations
 
@@ -10,6 +10,19 @@
 LARGE_PREFIX_TOKENS = 1500
 
 
+class TokenUsage(NamedTuple):
+    """The length of a prompt and the maximum length of the output, in tokens; 0 if not stated."""
+
+    prompt: int
+    output: int
+
+
+def parse_token_usage(header: str) -> TokenUsage:
+    """Parses `PROMPT,OUTPUT`. What is missing or malformed counts as not stated."""
+    prompt, _, output = header.partition(",")
+    return TokenUsage(parse_whole_number(prompt) or 0, parse_whole_number(output) or 0)
+
+
 class SharedPrefix(NamedTuple):
     """The largest shared segment of a prompt, and the tokens of all its shared segments."""
 
--- a/tests/tier/test_dataplane.py
+++ b/tests/tier/test_dataplane.py
@@ -254,7 +254,7 @@
         ):
             with self.subTest(header[:8]):
                 request = mock.Mock(headers={TOKEN_USAGE_HEADER: header})
-                self.assertEqual(RequestContext(request, route, "s", b"", 1.0, 0.0).prompt_tokens, tokens)
+                self.assertEqual(RequestContext(request, route, "s", b"", 1.0, 0.0).tokens.prompt, tokens)
 
 
 class RequestPaths(unittest.IsolatedAsyncioTestCase):
