config: what is acknowledged can be read by every dispatcher

Callers saw 404 on a route that the operator had added with 200, and 503 from every dispatcher that was restarted afterwards.

Cause: the core checked other fields than dispatchers read. A text for `priority`, or for any of some twenty numbers, was accepted; dispatchers raised, had noted the version by then and never tried again.

Change: heronstall/routing/reading.py reads the document for both programs; the core refuses what it cannot read with 400 and the field's path. A dispatcher that still meets one, from another release, keeps the last readable one and denies nothing by it. A PATCH of a wrong shape gets 400 in place of 500. Hosts are compared without ports, as used. dataplane/routing.py is now routing/routes.py.

--- a/benchmarks/tier_capacity.py
+++ b/benchmarks/tier_capacity.py
@@ -31,8 +31,8 @@
 from heronstall.batch.jobs import BatchShard
 from heronstall.batch.leases import LeaseQueue
 from heronstall.controlplane.state.worker_shard import WorkerShard, encode_put
-from heronstall.dataplane.routing import parse_routes
 from heronstall.distribution.view import ControlStateView
+from heronstall.routing.reading import parse_routes
 from heronstall.sessions.loads import WorkerLoad, pack_loads
 from heronstall.sessions.table import Sessions
 from heronstall.transport import messages as m
--- a/heronstall/controlplane/state/operator_config.py
+++ b/heronstall/controlplane/state/operator_config.py
@@ -4,9 +4,10 @@
 
 import serde
 from result import Ok, Result
-from serde import field
 
 from heronstall.controlplane.state.documents import ConfigFault, Document, Fault, fault_result
+from heronstall.routing.reading import UnreadableConfiguration, read_routes
+from heronstall.routing.routes import normalize_host
 
 
 @serde.serde
@@ -19,15 +20,14 @@
 
 @serde.serde
 class Route:
-    """The validated fields of a route."""
+    """The fields of a route that are compared with others; dispatchers' own code checks the rest."""
 
     name: str
     hostname: str
     path_prefix: str
     timeout_ms: int | float
-    route_type: str = "idempotent"
     service: str | None = None
-    traffic_split: list[Split] = field(default_factory=list)
+    traffic_split: list[Split] | None = None
 
 
 @serde.serde
@@ -56,30 +56,47 @@
     for key, names in remove.items():
         if not isinstance(names, list):
             return fault_result(ConfigFault.WRONG_TYPE, f"remove.{key}: a list is wanted")
-        document[key] = [x for x in document.get(key, []) if x.get("name") not in names]
+        current_items = _named_items(document.get(key, []))
+        if current_items is None:
+            return fault_result(ConfigFault.WRONG_TYPE, f"remove.{key}: {key} has no named items")
+        document[key] = [item for name, item in current_items.items() if name not in names]
     for key, items in upsert.items():
-        if isinstance(items, dict):
-            document[key] = {**document.get(key, {}), **items}
-            continue
-        if not isinstance(items, list) or not all(isinstance(x, dict) and "name" in x for x in items):
+        merged = _merge(document.get(key), items)
+        if merged is None:
             return fault_result(ConfigFault.WRONG_TYPE, f"upsert.{key}: a list of named items is wanted")
-        if len({str(x["name"]) for x in items}) < len(items):
+        if isinstance(items, list) and len({item["name"] for item in items}) < len(items):
             return fault_result(ConfigFault.DUPLICATE, f"upsert.{key}: a name stands twice")
-        new = {x["name"]: x for x in items}
-        merged = [new.pop(x["name"], x) for x in document.get(key, [])]
-        document[key] = [*merged, *new.values()]
+        document[key] = merged
     return Ok(document)
 
 
+def _named_items(items: object) -> dict[str, Document] | None:
+    """Returns the items of a list by name, or None if it is not a list of named objects."""
+    if not isinstance(items, list):
+        return None
+    if not all(isinstance(item, dict) and isinstance(item.get("name"), str) for item in items):
+        return None
+    return {item["name"]: item for item in items}
+
+
+def _merge(current: object, items: object) -> Document | list[Document] | None:
+    """Returns a part of the document with items added or replaced, or None if it has no such items."""
+    if isinstance(items, dict) and (current is None or isinstance(current, dict)):
+        return {**(current or {}), **items}
+    known, new = _named_items(current or []), _named_items(items)
+    return None if known is None or new is None else list({**known, **new}.values())
+
+
 def validate(document: Document, current_revision: int) -> Result[OperatorConfig, Fault]:
     """Validates a document that is to replace the current revision."""
     revision = document.get("revision")
     if isinstance(revision, bool) or not isinstance(revision, int):
         return fault_result(ConfigFault.WRONG_TYPE, "revision: a whole number is wanted")
+    unreadable = _reading_fault(document)
     try:
         config = serde.from_dict(OperatorConfig, document)
     except Exception as error:  # pyserde passes on any exception of a value's conversion
-        return fault_result(ConfigFault.WRONG_TYPE, str(error))
+        return fault_result(ConfigFault.WRONG_TYPE, unreadable or str(error))
     if revision <= current_revision:
         return fault_result(
             ConfigFault.OLD_REVISION,
@@ -88,14 +105,26 @@
     for name, items in (("routes", config.routes), ("services", config.services)):
         if len({x.name for x in items}) < len(items):
             return fault_result(ConfigFault.DUPLICATE, f"{name}: a name stands twice")
-    return _validate_routes(config)
+    valid = _validate_routes(config)
+    if isinstance(valid, Ok) and unreadable:
+        return fault_result(ConfigFault.WRONG_TYPE, unreadable)
+    return valid
+
+
+def _reading_fault(document: Document) -> str:
+    """Returns why dispatchers could not read a document, by their own code; "" if they can."""
+    try:
+        read_routes(document)
+    except UnreadableConfiguration as error:
+        return str(error)
+    return ""
 
 
 def _validate_routes(config: OperatorConfig) -> Result[OperatorConfig, Fault]:
     services = {s.name for s in config.services}
     route_matches: set[tuple[str, str]] = set()
     for route in config.routes:
-        route_match = (route.hostname.lower(), route.path_prefix)
+        route_match = (normalize_host(route.hostname), route.path_prefix)
         if route_match in route_matches:
             return fault_result(
                 ConfigFault.SAME_PLACE, f"{route.name}: another route has this host and prefix"
@@ -105,13 +134,14 @@
             return fault_result(
                 ConfigFault.BAD_PREFIX, f"{route.name}: path_prefix must begin and end with a slash"
             )
-        targets = {s.service for s in route.traffic_split} | ({route.service} if route.service else set())
+        split = route.traffic_split or []
+        targets = {s.service for s in split} | ({route.service} if route.service else set())
         unknown = targets - services
         if unknown or not targets:
             return fault_result(
                 ConfigFault.UNKNOWN_SERVICE, f"{route.name}: unknown service {sorted(unknown)}"
             )
-        weights = [s.weight for s in route.traffic_split]
+        weights = [s.weight for s in split]
         if weights and (sum(weights) <= 0 or min(weights) < 0):
             return fault_result(
                 ConfigFault.NO_WEIGHT,
--- a/heronstall/dataplane/admission.py
+++ b/heronstall/dataplane/admission.py
@@ -8,10 +8,10 @@
 
 from heronstall.dataplane.item_slots import ItemSlots
 from heronstall.dataplane.prefixes import SharedPrefix
-from heronstall.dataplane.routing import Route
 from heronstall.dataplane.worker_latency import LatencyBaseline
 from heronstall.dataplane.worker_selection import WorkerSelector
 from heronstall.dataplane.workers import WorkerPool, WorkerState
+from heronstall.routing.routes import Route
 
 INITIAL_AVOIDANCE_S = 0.3  # after a first failure; each further failure doubles it
 MAX_AVOIDANCE_S = 4.0
--- a/heronstall/dataplane/batch_api.py
+++ b/heronstall/dataplane/batch_api.py
@@ -14,11 +14,11 @@
 from heronstall.batch.items import set_items
 from heronstall.dataplane.forwarding import REQUEST_ID_HEADER, empty_response, service_unavailable
 from heronstall.dataplane.misses import MissLog
-from heronstall.dataplane.routing import Route
 from heronstall.dataplane.shard_client import ShardClient
 from heronstall.dataplane.whole_numbers import parse_whole_number
 from heronstall.distribution.shards import batch_shard
 from heronstall.json_size import exceeds_containers
+from heronstall.routing.routes import Route
 from heronstall.transport.frames import Kind, Status
 from heronstall.transport.messages import BatchItem, BatchJob, Header, ReadReply, ReadRequest, SubmitRequest
 
--- a/heronstall/dataplane/batch_runner.py
+++ b/heronstall/dataplane/batch_runner.py
@@ -29,10 +29,10 @@
 from heronstall.dataplane.framing import is_framed
 from heronstall.dataplane.misses import EndedItem, MissLog
 from heronstall.dataplane.prefixes import SharedPrefix, parse_shared_prefix, parse_token_usage
-from heronstall.dataplane.routing import Route, Routes, RouteType
 from heronstall.dataplane.shard_client import ShardClient
 from heronstall.dataplane.workers import UnsendablePath, WorkerState, record_target
 from heronstall.distribution.shards import batch_shard
+from heronstall.routing.routes import Route, Routes, RouteType
 from heronstall.transport.event_waits import wait_at_most
 from heronstall.transport.frames import Kind, Status
 from heronstall.transport.links import Reply
--- a/heronstall/dataplane/forwarding.py
+++ b/heronstall/dataplane/forwarding.py
@@ -26,8 +26,8 @@
     parse_token_usage,
 )
 from heronstall.dataplane.prompt_placement import PlacedPrompt, PromptPlacer
-from heronstall.dataplane.routing import Route, RouteType
 from heronstall.dataplane.workers import UnsendablePath, WorkerPool, WorkerState, record_target
+from heronstall.routing.routes import Route, RouteType
 
 log = structlog.get_logger()
 
--- a/heronstall/dataplane/ingress.py
+++ b/heronstall/dataplane/ingress.py
@@ -24,9 +24,9 @@
     empty_response,
     service_unavailable,
 )
-from heronstall.dataplane.routing import Routes, RouteType
 from heronstall.dataplane.whole_numbers import parse_whole_number
 from heronstall.distribution.freshness import StalenessLimits
+from heronstall.routing.routes import Routes, RouteType
 from heronstall.transport.event_waits import expire_now
 from heronstall.transport.http_connection import read_body
 
@@ -61,6 +61,7 @@
         limits: StalenessLimits,
     ) -> None:
         self._routes = Routes()
+        self.routes_outdated = False  # whether a newer configuration is known that could not be read
         self._configured = asyncio.Event()
         self._active_requests: set[ActiveRequest] = set()
         self._forwarder, self._batch, self._random = forwarder, batch, rng
@@ -149,7 +150,8 @@
             return await self._batch_call(request, host, path)
         route = self.routes.find(host, path)
         if route is None:
-            is_current = self._state_age() < self._limits.unknown_route_limit
+            age_limit = self._limits.unknown_route_limit
+            is_current = self._state_age() < age_limit and not self.routes_outdated
             return empty_response(404) if is_current else service_unavailable(STARTING_RETRY_AFTER_S)
         if route.type is RouteType.BATCH:
             active_request.dispatched = True
--- a/heronstall/dataplane/misses.py
+++ b/heronstall/dataplane/misses.py
@@ -19,7 +19,7 @@
 from heronstall.dataplane.attempt_ends import AttemptEnd
 from heronstall.dataplane.attempts import Attempt
 from heronstall.dataplane.prefixes import SharedPrefix
-from heronstall.dataplane.routing import Route
+from heronstall.routing.routes import Route
 
 log = structlog.get_logger()
 
--- a/heronstall/dataplane/node.py
+++ b/heronstall/dataplane/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import time
 
@@ -18,12 +19,12 @@
 from heronstall.dataplane.ingress import Ingress
 from heronstall.dataplane.misses import MissLog
 from heronstall.dataplane.prompt_placement import PromptPlacer
-from heronstall.dataplane.routing import parse_routes
 from heronstall.dataplane.shard_client import ShardClient
 from heronstall.dataplane.subset import DispatcherPosition
 from heronstall.dataplane.workers import WorkerPool
 from heronstall.distribution.freshness import StalenessLimits, complete_until
 from heronstall.distribution.view import ControlStateView
+from heronstall.routing.reading import UnreadableConfiguration, parse_routes
 from heronstall.sessions.loads import pack_loads
 from heronstall.transport.connection_limits import SMALL_SERVER_LIMITS, server_limits
 from heronstall.transport.http_server import HttpServer
@@ -59,7 +60,7 @@
             self.deferred,
             lambda: self.ingress.routes,
             self.misses,
-            lambda: complete_until(self.puller.current_as_of),
+            self._complete_until,
         )
         forwarder = Forwarder(
             self.pool,
@@ -160,12 +161,26 @@
 
     def _apply_changes(self, changed: set[str]) -> None:
         if "config" in changed:
-            self.ingress.routes = parse_routes(self.view.document)
-            log.info("configuration", revision=self.ingress.routes.revision)
-            self.runner.update_pollers()
+            self._apply_configuration()
         if "workers" in changed:
             self.pool.update(self.view.all_workers())
 
+    def _apply_configuration(self) -> None:
+        """Applies the newest configuration. The one before stays in force if this release cannot read it."""
+        try:
+            routes = parse_routes(self.view.document)
+        except UnreadableConfiguration as error:
+            self.ingress.routes_outdated = True
+            log.error("configuration unreadable", version=self.view.versions["config"], field=str(error))
+            return
+        self.ingress.routes, self.ingress.routes_outdated = routes, False
+        log.info("configuration", revision=routes.revision)
+        self.runner.update_pollers()
+
+    def _complete_until(self) -> float:
+        """Returns the time until which the routes in force contain all committed changes."""
+        return -math.inf if self.ingress.routes_outdated else complete_until(self.puller.current_as_of)
+
     async def _handle_readiness(self, request: web.BaseRequest) -> web.StreamResponse:
         ready = self.ingress.may_serve and not self.front.draining
         return web.Response(status=200 if ready else 503)
--- a/heronstall/dataplane/routing.py
+++ b/heronstall/routing/routes.py
@@ -1,14 +1,10 @@
-"""Routes, services and limits of the operator's configuration, as the data plane uses them."""
+"""Routes, services and limits of the operator's configuration, as both programs use them."""
 
 from __future__ import annotations
 
 import random
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Any
-
-import ujson
 
 from heronstall.transport.connection_limits import RequestLimits
 
@@ -115,58 +111,3 @@
     """Returns the name of a Host header without its port, in lower case."""
     name, colon, port = host.rpartition(":")
     return (name if colon and port.isdigit() else host).lower()
-
-
-def parse_routes(document: bytes) -> Routes:
-    """Parses a configuration that the control plane has validated."""
-    raw = ujson.loads(document)
-    routes = Routes(revision=raw["revision"], limits=_parse_limits(raw.get("limits") or {}))
-    for service in raw.get("services", []):
-        engine = service.get("engine") or {}
-        routes.services[service["name"]] = Service(
-            name=service["name"],
-            health_check=service.get("health_check") or "/healthz",
-            max_connections=int(service.get("max_connections") or 64),
-            capacity=int(engine.get("capacity") or 0),
-            cache_tokens=int(engine.get("kv_cache_tokens") or 0),
-        )
-    for entry in raw.get("routes", []):
-        route = _parse_route(entry)
-        routes.by_host.setdefault(route.host, []).append(route)
-    for host_routes in routes.by_host.values():
-        host_routes.sort(key=lambda r: -len(r.path_prefix))
-    return routes
-
-
-def _parse_route(raw: Mapping[str, Any]) -> Route:
-    split = tuple((s["service"], float(s["weight"])) for s in raw.get("traffic_split") or ())
-    try:
-        kind = RouteType(raw.get("route_type") or "non_idempotent")
-    except ValueError:
-        kind = RouteType.NON_IDEMPOTENT
-    return Route(
-        name=raw["name"],
-        host=normalize_host(raw["hostname"]),
-        path_prefix=raw["path_prefix"],
-        type=kind,
-        targets=split or ((raw["service"], 1.0),),
-        timeout=float(raw["timeout_ms"]) / 1000,
-        target_latency=float(raw.get("target_latency_ms") or 1000) / 1000,
-        priority=int(raw.get("priority") or 0),
-        max_attempts=max(1, int(raw.get("max_attempts") or 1)),
-        resumable=bool(raw.get("resumable")),
-        target_event_gap=float(raw.get("gap_aim_ms") or 250) / 1000,
-        completion_target=float(raw.get("completion_target_ms") or 10_000) / 1000,
-        retention=float(raw.get("retention_s") or 60),
-        max_queued_tokens=int(raw.get("max_queued_tokens") or 0),
-    )
-
-
-def _parse_limits(raw: Mapping[str, Any]) -> RequestLimits:
-    defaults = RequestLimits()
-    return RequestLimits(
-        header_bytes=int(raw.get("max_header_bytes") or defaults.header_bytes),
-        body_bytes=int(raw.get("max_body_bytes") or defaults.body_bytes),
-        header_timeout=float(raw.get("header_timeout_ms") or 3000) / 1000,
-        idle_timeout=float(raw.get("idle_timeout_ms") or 15_000) / 1000,
-    )
--- a/tests/tier/batch_play.py
+++ b/tests/tier/batch_play.py
@@ -28,11 +28,11 @@
 from heronstall.dataplane.batch_runner import BatchRunner
 from heronstall.dataplane.deferred import DeferredQueue
 from heronstall.dataplane.forwarding import REQUEST_ID_HEADER
-from heronstall.dataplane.routing import parse_routes
 from heronstall.dataplane.shard_client import ShardClient
 from heronstall.dataplane.subset import DispatcherPosition
 from heronstall.dataplane.workers import WorkerPool, WorkerState
 from heronstall.distribution.shards import batch_shard
+from heronstall.routing.reading import parse_routes
 from heronstall.transport.frames import Kind, Status
 from heronstall.transport.links import CALL_FAILED, LargeReply, Reply
 from heronstall.transport.messages import (
--- a/tests/tier/test_attempt_ends.py
+++ b/tests/tier/test_attempt_ends.py
@@ -18,8 +18,8 @@
 from heronstall.dataplane.attempt_ends import END_RULES, AttemptEnd, EndRule, Refusal, may_retry
 from heronstall.dataplane.batch_runner import BatchRunner, RunningItem
 from heronstall.dataplane.forwarding import REQUEST_ID_HEADER, Forwarder, RequestContext
-from heronstall.dataplane.routing import Route, RouteType
 from heronstall.dataplane.workers import WorkerPool, WorkerState
+from heronstall.routing.routes import Route, RouteType
 from heronstall.transport.messages import BatchItem, LeasedItem, Worker
 
 FIRST_PORT, SECOND_PORT, CLOSED_PORT = 7751, 7752, 7753
--- a/tests/tier/test_batch_runner.py
+++ b/tests/tier/test_batch_runner.py
@@ -9,7 +9,7 @@
 
 from heronstall.batch.outcomes import Outcome
 from heronstall.dataplane.batch_runner import BatchRunner, RunningItem
-from heronstall.dataplane.routing import Routes
+from heronstall.routing.routes import Routes
 from heronstall.transport.frames import Kind, Status
 from heronstall.transport.links import Reply
 from heronstall.transport.messages import (
--- a/tests/tier/test_control.py
+++ b/tests/tier/test_control.py
@@ -5,9 +5,11 @@
 import asyncio
 import copy
 import functools
+import itertools
 import random
 import unittest
 from collections import Counter
+from collections.abc import Iterator
 from typing import Any
 from unittest import mock
 
@@ -24,6 +26,7 @@
 from heronstall.distribution.shards import WORKER_SHARDS
 from heronstall.distribution.view import ControlStateView
 from heronstall.ownership.placement import PlacementCandidate, initial_placements, repaired_placements
+from heronstall.routing.reading import parse_routes
 from heronstall.sessions.loads import WorkerLoad, pack_loads, unpack_loads
 from heronstall.sessions.table import SESSION_TIMEOUT, Sessions
 from heronstall.transport.frames import Kind, Status
@@ -56,6 +59,41 @@
 }
 
 
+WRONG_VALUES: tuple[Any, ...] = ("high", "", "7", [], ["a"], {}, {"a": 1}, True, None, -1, 0, 2.5, 2**53)
+CHANGED_FIELDS = {
+    "": ("revision", "routes", "services", "limits"),
+    "routes": (
+        *("name", "hostname", "path_prefix", "route_type", "timeout_ms", "target_latency_ms", "priority"),
+        *("service", "traffic_split", "max_attempts", "resumable", "gap_aim_ms", "session_affinity"),
+        *("completion_target_ms", "retention_s", "max_queued_tokens"),
+    ),
+    "services": ("name", "health_check", "max_connections", "engine"),
+    "engine": ("capacity", "kv_cache_tokens"),
+    "limits": ("max_header_bytes", "max_body_bytes", "header_timeout_ms", "idle_timeout_ms"),
+    "traffic_split": ("service", "weight"),
+}
+
+
+def documents_with_one_changed_field() -> Iterator[tuple[str, Any]]:
+    """Yields the configuration with each field set to each wrong or unusual value, and the field's path."""
+    for part, names in CHANGED_FIELDS.items():
+        for name, value in itertools.product(names, WRONG_VALUES):
+            document = copy.deepcopy(CONFIG)
+            document["limits"] = {}
+            document["services"][0]["engine"] = {}
+            changed = {
+                "": document,
+                "routes": document["routes"][0],
+                "services": document["services"][0],
+                "engine": document["services"][0]["engine"],
+                "limits": document["limits"],
+                "traffic_split": document["routes"][1]["traffic_split"][0],
+            }[part]
+            changed[name] = value
+            if document["revision"] == 7:
+                yield f"{part}.{name}".strip("."), document
+
+
 class Configurations(unittest.TestCase):
     def rejection_code(self, document: Any, revision: int = 6) -> ConfigFault:
         found = validate(document, revision)
@@ -77,6 +115,7 @@
             (ConfigFault.UNKNOWN_SERVICE, self.with_route_changes(service=None)),
             (ConfigFault.SAME_PLACE, self.with_route_changes(path_prefix="/b/")),
             (ConfigFault.SAME_PLACE, self.with_route_changes(path_prefix="/b/", hostname="H")),
+            (ConfigFault.SAME_PLACE, self.with_route_changes(path_prefix="/b/", hostname="h:80")),
             (ConfigFault.NO_WEIGHT, self.with_route_changes(traffic_split=split)),
             (ConfigFault.NO_TIMEOUT, self.with_route_changes(timeout_ms=0)),
             (ConfigFault.NO_TIMEOUT, self.with_route_changes(timeout_ms=-1)),
@@ -92,6 +131,82 @@
         self.assertEqual(self.rejection_code(CONFIG, 7), ConfigFault.OLD_REVISION)
         self.assertEqual(self.rejection_code(CONFIG, 8), ConfigFault.OLD_REVISION)
 
+    def test_what_is_accepted_can_be_read_by_dispatchers_and_what_is_refused_names_the_field(self) -> None:
+        """Guards against a configuration that is acknowledged and then in force nowhere."""
+        accepted = refused = 0
+        for path, document in documents_with_one_changed_field():
+            found = validate(document, 6)
+            with self.subTest(path=path, document=document):
+                if isinstance(found, Ok):
+                    accepted += 1
+                    self.assertEqual(parse_routes(canonical_json(document)).revision, 7)
+                    continue
+                refused += 1
+                code, text = found.err_value
+                self.assertNotEqual(code, ConfigFault.UNREADABLE)
+                if code == ConfigFault.WRONG_TYPE:
+                    self.assertIn(path.rpartition(".")[2], text)
+        self.assertGreater(min(accepted, refused), 50)  # the values are neither all good nor all bad
+
+    def test_wrong_types_are_refused_by_path(self) -> None:
+        for changes, path in (
+            ({"priority": "high"}, "routes[0].priority"),
+            ({"target_latency_ms": "200"}, "routes[0].target_latency_ms"),
+            ({"max_attempts": []}, "routes[0].max_attempts"),
+            ({"retention_s": {}}, "routes[0].retention_s"),
+            ({"max_queued_tokens": True}, "routes[0].max_queued_tokens"),
+            ({"resumable": "no"}, "routes[0].resumable"),
+            ({"gap_aim_ms": -1}, "routes[0].gap_aim_ms"),
+        ):
+            with self.subTest(path=path):
+                found = validate(self.with_route_changes(**changes), 6)
+                assert isinstance(found, Err)
+                self.assertEqual(found.err_value[0], ConfigFault.WRONG_TYPE)
+                self.assertIn(path, found.err_value[1])
+        for part, path in (
+            ({"limits": {"max_body_bytes": "4MB"}}, "limits.max_body_bytes"),
+            ({"limits": [1]}, "limits"),
+            (
+                {"services": [{"name": "s", "engine": {"capacity": "48"}}, {"name": "t"}]},
+                "services[0].engine.capacity",
+            ),
+            ({"services": [{"name": "s"}, {"name": "t", "engine": []}]}, "services[1].engine"),
+        ):
+            with self.subTest(path=path):
+                found = validate({**CONFIG, **part}, 6)
+                assert isinstance(found, Err)
+                self.assertIn(path, found.err_value[1])
+
+    def test_optional_and_unknown_fields_are_accepted(self) -> None:
+        for changes in (
+            {"priority": None, "resumable": None, "max_attempts": None},
+            {"target_latency_ms": 0.5, "max_queued_tokens": 0, "priority": -1},
+            {"session_affinity": True, "unknown": {"a": ["b"]}},
+        ):
+            with self.subTest(changes=changes):
+                document = self.with_route_changes(**changes)
+                self.assertIsInstance(validate(document, 6), Ok)
+                parse_routes(canonical_json(document))
+
+    def test_a_patch_of_wrong_shape_is_refused(self) -> None:
+        patches: tuple[Any, ...] = (
+            {"remove": {"routes": "a"}},
+            {"remove": {"limits": ["a"]}},
+            {"remove": {"revision": ["a"]}},
+            {"upsert": {"routes": {"a": 1}}},
+            {"upsert": {"routes": [{"name": ["a"]}]}},
+            {"upsert": {"routes": [{"name": "a"}, {"name": "a"}]}},
+            {"upsert": {"limits": []}},
+            {"upsert": {"revision": {"a": 1}}},
+            {"upsert": []},
+        )
+        for patch in patches:
+            with self.subTest(patch=patch):
+                current = {**CONFIG, "limits": {"max_body_bytes": 1}}
+                found = apply_patch(current, {"revision": 9, **patch})
+                result = found if isinstance(found, Err) else validate(found.ok_value, 7)
+                self.assertTrue(isinstance(result, Err) or patch == {"upsert": {"limits": []}}, result)
+
     def test_unreadable_bodies(self) -> None:
         for body, expected in (
             (ujson.dumps(CONFIG)[:-20].encode(), ConfigFault.UNREADABLE),
--- a/tests/tier/test_drain.py
+++ b/tests/tier/test_drain.py
@@ -28,11 +28,12 @@
 from heronstall.config import node_settings
 from heronstall.dataplane.forwarding import REQUEST_ID_HEADER
 from heronstall.dataplane.node import DispatcherNode
-from heronstall.dataplane.routing import Routes, parse_routes
 from heronstall.lab.tier.client import HOST, SERVICE, STREAM, configuration, until
 from heronstall.lab.tier.plan import CONTROL, FRONT, Plan
 from heronstall.lab.tier.processes import Processes
 from heronstall.lab.tier.worker import Worker, text_of
+from heronstall.routing.reading import parse_routes
+from heronstall.routing.routes import Routes
 from heronstall.transport.http_server import Handler
 from heronstall.transport.messages import Worker as Entry
 
--- a/tests/tier/test_framing.py
+++ b/tests/tier/test_framing.py
@@ -16,8 +16,8 @@
 from heronstall.dataplane.batch_runner import BatchRunner, RunningItem
 from heronstall.dataplane.forwarding import REQUEST_ID_HEADER, Forwarder, RequestContext
 from heronstall.dataplane.framing import is_framed
-from heronstall.dataplane.routing import Route, RouteType
 from heronstall.dataplane.workers import WorkerPool
+from heronstall.routing.routes import Route, RouteType
 from heronstall.transport.messages import BatchItem, LeasedItem, Worker
 
 PORT = 7743
--- a/tests/tier/test_known_configuration.py
+++ b/tests/tier/test_known_configuration.py
@@ -9,8 +9,8 @@
 from unittest import mock
 
 from heronstall.dataplane.ingress import CONFIGURATION_WAIT_S, Ingress
-from heronstall.dataplane.routing import Routes
 from heronstall.distribution.freshness import StalenessLimits
+from heronstall.routing.routes import Routes
 from tests.tier.test_routing import sample_routes
 
 LIMITS = StalenessLimits(unknown_route_limit=1.2, service_limit=6.2)
--- a/tests/tier/test_misses.py
+++ b/tests/tier/test_misses.py
@@ -24,7 +24,7 @@
     miss_reason,
 )
 from heronstall.dataplane.prefixes import NO_SHARED_PREFIX
-from heronstall.dataplane.routing import Route, RouteType
+from heronstall.routing.routes import Route, RouteType
 
 ROUTE = Route("r", "h", "/", RouteType.STREAMING, (("lm", 1.0),), 5.0, 0.3, 0, 2, True, 0.25, 8.0, 60.0, 0)
 ARRIVED = 1000.0
--- a/tests/tier/test_names.py
+++ b/tests/tier/test_names.py
@@ -14,9 +14,9 @@
 from heronstall.dataplane.admission import Admission
 from heronstall.dataplane.misses import EndedRequest, miss_reason
 from heronstall.dataplane.prefixes import NO_SHARED_PREFIX, parse_shared_prefix
-from heronstall.dataplane.routing import parse_routes
 from heronstall.dataplane.subset import DispatcherPosition
 from heronstall.dataplane.workers import WorkerPool
+from heronstall.routing.reading import parse_routes
 from heronstall.sessions.loads import WorkerLoad
 from heronstall.transport.messages import Worker
 from tests.tier.test_misses import attempt, ended
--- a/tests/tier/test_routing.py
+++ b/tests/tier/test_routing.py
@@ -6,7 +6,8 @@
 
 import ujson
 
-from heronstall.dataplane.routing import Routes, RouteType, parse_routes
+from heronstall.routing.reading import parse_routes
+from heronstall.routing.routes import Routes, RouteType
 
 
 def sample_routes(fields: dict[str, object] | None = None) -> Routes:
