batch: an item's route is the one that accepted its job

Callers saw items listed as dead_letter that no worker had had, after a route with a longer prefix had been added beside their batch route.

Cause: a dispatcher looked an item's route up by the item's path. The longest match may be another route; one that is not for batch jobs, or none at all, counted as a route that is gone.

Change: the route is found by the host and name that the job carries, everywhere; the path is only sent to the worker.

--- a/heronstall/dataplane/batch_runner.py
+++ b/heronstall/dataplane/batch_runner.py
@@ -32,7 +32,7 @@
 from heronstall.dataplane.shard_client import ShardClient
 from heronstall.dataplane.workers import UnsendablePath, WorkerState, record_target
 from heronstall.distribution.shards import batch_shard
-from heronstall.routing.routes import Route, Routes, RouteType
+from heronstall.routing.routes import Route, Routes
 from heronstall.transport.event_waits import wait_at_most
 from heronstall.transport.frames import Kind, Status
 from heronstall.transport.links import Reply
@@ -215,9 +215,11 @@
         self._admission.item_slots.record_lease(min(remaining_shares, default=1.0), backlog)
 
     def _batch_route(self, leased: LeasedItem) -> Route | None:
-        """Returns the route of a leased item's job, if this dispatcher's configuration has it."""
-        routes = self._routes().by_host.get(leased.host, ())
-        return next((route for route in routes if route.name == leased.route), None)
+        """Returns the route that accepted a leased item's job, if this dispatcher's configuration has it.
+
+        The paths of its items decide nothing: another route of the host may have a longer matching prefix.
+        """
+        return self._routes().batch_route(leased.host, leased.route)
 
     async def _request_leases(
         self, shard: str, shares: list[LeaseShare], slot_freed: asyncio.Event
@@ -348,8 +350,8 @@
         await self._deferred.wait(rank, deadline, due, lambda: self._may_start(item), item.leased.route)
 
     def _may_start(self, item: RunningItem) -> bool:
-        route = self._routes().find(item.leased.host, item.request.path)
-        return route is None or any(self._admission.can_start_item(target) for target, _ in route.targets)
+        route = self._batch_route(item.leased)
+        return route is None or any(map(self._admission.can_start_item, route.services))
 
     async def _run_attempts(self, item: RunningItem) -> Outcome:
         tried: set[str] = set()
@@ -384,8 +386,8 @@
         """
         while True:
             updated = self._view_updated
-            route = self._routes().find(item.leased.host, item.request.path)
-            if route is not None and route.type is RouteType.BATCH:
+            route = self._batch_route(item.leased)
+            if route is not None:
                 return route
             if self._view_complete_until() >= item.leased_at:
                 return Outcome.ROUTE_GONE
--- a/heronstall/routing/routes.py
+++ b/heronstall/routing/routes.py
@@ -5,6 +5,7 @@
 import random
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import cached_property
 
 from heronstall.transport.connection_limits import RequestLimits
 
@@ -77,7 +78,7 @@
 
 @dataclass
 class Routes:
-    """All routes, services and limits of one configuration."""
+    """All routes, services and limits of one configuration, which does not change once it has been read."""
 
     revision: int = 0
     by_host: dict[str, list[Route]] = field(default_factory=dict)
@@ -102,6 +103,14 @@
         """Returns the routes for batch jobs."""
         return [r for routes in self.by_host.values() for r in routes if r.type is RouteType.BATCH]
 
+    def batch_route(self, host: str, name: str) -> Route | None:
+        """Returns the route for batch jobs with this host and name: the one that accepted a job."""
+        return self._batch_routes_by_name.get((host, name))
+
+    @cached_property
+    def _batch_routes_by_name(self) -> dict[tuple[str, str], Route]:
+        return {(route.host, route.name): route for route in self.batch_routes()}
+
     def batch_hosts(self) -> set[str]:
         """Returns the hosts that have a route for batch jobs."""
         return {route.host for route in self.batch_routes()}
--- a/tests/tier/batch_play.py
+++ b/tests/tier/batch_play.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import json
+import math
 import random
 import tempfile
 import time
@@ -126,8 +127,18 @@
         self.runs: Counter[str] = Counter()  # by item
         self.answer: Callable[[WorkerState, str], Answer] = lambda worker, item: Answer()
         self._revision = 0
+        self.store_knows_until = math.inf
         self.configure()
 
+    @property
+    def store_knows_until(self) -> float:
+        """The time until which the storage node's view of the control state is complete."""
+        return self.store._puller.current_as_of
+
+    @store_knows_until.setter
+    def store_knows_until(self, at: float) -> None:
+        self.store._puller.current_as_of = at
+
     def configure(self, *routes: dict[str, Any]) -> None:
         """Brings a configuration with these routes into force at the dispatcher and the storage node."""
         self._revision += 1
@@ -168,7 +179,7 @@
     async def submit(self, route_name: str, name: str, items: int, **more: Any) -> None:
         """Submits a job, which must be accepted. `more` are fields of its items."""
         listed = [
-            BatchItem(**{"id": f"{name}-{n}", "path": f"/{route_name}/{n}", "tokens": 1, **more})
+            BatchItem(**{"id": f"{name}-{n}", "path": f"/{route_name}/{n}/{name}", "tokens": 1, **more})
             for n in range(items)
         ]
         job = BatchJob(
