store: waiting items of a removed route are given up

Callers saw items neither run nor listed for over a minute after the operator had removed the only batch route of a host.

Cause: dispatchers find out that a route is gone when they lease an item of it, and lease only items of routes that they know.

Change: the owner of the shard gives up the waiting items of jobs whose route is gone, by the proof that dispatchers use: a view that is complete until a time at which the job existed already lacks the route. A dispatcher returns items that wait there when their route has gone. The simulated tiers' configurations have the route of their jobs now.

--- a/heronstall/batch/leases.py
+++ b/heronstall/batch/leases.py
@@ -93,9 +93,9 @@
         """Returns the numbers of items that may be leased now, for the routes that have any."""
         return {route: len(queue) for route, queue in self._waiting.items()}
 
-    def waiting_items(self, route: str) -> list[ItemKey]:
-        """Returns the items of a route that may be leased now."""
-        return list(self._waiting.get(route, {}).values())
+    def is_leased(self, key: ItemKey) -> bool:
+        """Returns whether a dispatcher has an item."""
+        return key in self._leases
 
     def set_ownership(self, now: float, is_owner: bool, term: int = 0) -> None:
         """Starts or stops owning the shard."""
--- a/heronstall/controlplane/store.py
+++ b/heronstall/controlplane/store.py
@@ -19,9 +19,13 @@
 from heronstall.config import NodeSettings
 from heronstall.controlplane.held_calls import ANY_ROUTE, CallsByName, LeaseCalls
 from heronstall.controlplane.hosting import Superseded
+from heronstall.controlplane.removed_routes import RemovedRoutes
 from heronstall.controlplane.replica_node import ReplicaNode
+from heronstall.distribution.freshness import complete_until
 from heronstall.distribution.view import ControlStateView
 from heronstall.replication import membership
+from heronstall.routing.reading import UnreadableConfiguration, parse_routes
+from heronstall.routing.routes import Routes
 from heronstall.transport.frames import Kind, Status
 from heronstall.transport.links import LargeReply, Reply
 from heronstall.transport.messages import (
@@ -60,6 +64,7 @@
 
     def __init__(self) -> None:
         self.state = BatchShard()
+        self.removed_routes = RemovedRoutes()
         self.leases = LeaseQueue(self.state)
         self.state.listener = self
         self.pending_submissions: dict[str, asyncio.Future[Any]] = {}  # proposed jobs, outcome unknown
@@ -112,6 +117,7 @@
     def __init__(self, settings: NodeSettings) -> None:
         super().__init__(settings, MAX_LOG_BYTES, LOG_DISK_DIVISOR)
         self.view = ControlStateView()
+        self._routes: Routes | None = None  # of the newest configuration; None if it is not known
         self.shards: dict[str, OwnedShard] = {}
         self._calls: dict[
             Kind, tuple[type[Any], Callable[[OwnedShard, Any], Awaitable[Reply | LargeReply]]]
@@ -161,8 +167,19 @@
         )
 
     def _on_view_change(self, changed: set[str]) -> None:
-        if "placement" not in changed:
-            return
+        if "config" in changed:
+            self._read_configuration()
+        if "placement" in changed:
+            self._add_placed_shards()
+
+    def _read_configuration(self) -> None:
+        try:
+            self._routes = parse_routes(self.view.document)
+        except UnreadableConfiguration as error:
+            self._routes = None
+            log.error("configuration unreadable", version=self.view.versions["config"], field=str(error))
+
+    def _add_placed_shards(self) -> None:
         for shard, placement in self.view.placements.items():
             if self.host.replica_id in placement.replicas and shard not in self.shards:
                 self._add(shard)
@@ -195,12 +212,12 @@
                 if owned.leases.expire_silent_holders(now) + owned.leases.resume_paused(now):
                     owned.wake()
                 try:
-                    await self._remove_expired_jobs(group, owned)
+                    await self._remove_expired(group, owned)
                 except (Superseded, TimeoutError):
                     log.info("cleaning put off", shard=group)
             self.host.flush_soon()
 
-    async def _remove_expired_jobs(self, group: str, owned: OwnedShard) -> None:
+    async def _remove_expired(self, group: str, owned: OwnedShard) -> None:
         now = time.monotonic()
         margin = self.settings.bounds.max_skew + EXPIRY_MARGIN
         expired_jobs = [
@@ -215,9 +232,27 @@
             item_lifetime = job.record.retention_ms / 1000 + margin
             if not job.ended and job.open_items and now - job.accepted_at > item_lifetime:
                 expired_items += [ItemResult(job=name, item=item) for item in job.open_items]
+        expired_items += self._items_of_removed_routes(owned)
         if expired_items:
             await self.host.propose(group, batch.encode_results(expired_items), COMMIT_TIMEOUT)
 
+    def _items_of_removed_routes(self, owned: OwnedShard) -> list[ItemResult]:
+        """Returns results that give up the waiting items of removed routes; dispatchers finish the others."""
+        if self._routes is None:
+            return []
+        jobs = owned.removed_routes.jobs_without_route(
+            time.monotonic(),
+            owned.state.jobs.values(),
+            self._routes,
+            complete_until(self._puller.current_as_of),
+        )
+        return [
+            ItemResult(job=job.record.id, item=item)
+            for job in jobs
+            for item in job.open_items
+            if not owned.leases.is_leased((job.record.id, item))
+        ]
+
     # ------------------------------------------------------------------ calls of dispatchers
 
     async def _handle_call(self, kind: Kind, body: bytes) -> Reply | LargeReply:
--- a/heronstall/dataplane/batch_runner.py
+++ b/heronstall/dataplane/batch_runner.py
@@ -134,6 +134,15 @@
         for shard in wanted - set(self._pollers):
             self._pollers[shard] = asyncio.create_task(self._poll(shard))
 
+    def return_items_without_route(self) -> None:
+        """Returns the items that wait here for a worker and whose route the configuration lacks.
+
+        The owner leases them to a dispatcher that knows the route, or gives them up.
+        """
+        for item in list(self._running.values()):
+            if not item.started_at and self._batch_route(item.leased) is None:
+                self._cancel(item)
+
     def announce_view_update(self) -> None:
         """Wakes the items that wait for a newer view of the control state."""
         self._view_updated.set()
@@ -161,8 +170,8 @@
         """Returns the items without any output to their owners and starts no more."""
         self.stopping = True
         for item in list(self._running.values()):
-            if not item.event_data and item.task is not None:
-                item.task.cancel()
+            if not item.event_data:
+                self._cancel(item)
 
     async def finish(self, deadline: float) -> None:
         """Returns when all items have ended and are reported, or at the deadline, in monotonic time.
@@ -303,13 +312,18 @@
 
     def _cancel_item(self, name: ItemName) -> None:
         item = self._running.get((name.job, name.item))
-        if item is not None and item.task is not None:
-            item.task.cancel()
+        if item is not None:
+            self._cancel(item)
 
     def _cancel_job(self, job: str) -> None:
         for key, item in list(self._running.items()):
-            if key[0] == job and item.task is not None:
-                item.task.cancel()
+            if key[0] == job:
+                self._cancel(item)
+
+    @staticmethod
+    def _cancel(item: RunningItem) -> None:
+        if item.task is not None:
+            item.task.cancel()
 
     # ------------------------------------------------------------------ running
 
--- a/heronstall/dataplane/node.py
+++ b/heronstall/dataplane/node.py
@@ -176,6 +176,7 @@
         self.ingress.routes, self.ingress.routes_outdated = routes, False
         log.info("configuration", revision=routes.revision)
         self.runner.update_pollers()
+        self.runner.return_items_without_route()
 
     def _complete_until(self) -> float:
         """Returns the time until which the routes in force contain all committed changes."""
--- a/tests/tier/batch_play.py
+++ b/tests/tier/batch_play.py
@@ -122,7 +122,7 @@
             self.admission,
             self.deferred,
             lambda: self.routes,
-            view_complete_until=time.monotonic,
+            view_complete_until=lambda: math.inf,
         )
         self.runs: Counter[str] = Counter()  # by item
         self.answer: Callable[[WorkerState, str], Answer] = lambda worker, item: Answer()
@@ -141,20 +141,20 @@
 
     def configure(self, *routes: dict[str, Any]) -> None:
         """Brings a configuration with these routes into force at the dispatcher and the storage node."""
+        self.routes = parse_routes(self.configure_store(*routes))
+        self.runner.update_pollers()
+        self.runner.return_items_without_route()
+
+    def configure_store(self, *routes: dict[str, Any]) -> bytes:
+        """Tells the storage node alone a configuration with these routes, and returns its document."""
         self._revision += 1
-        services = sorted({entry["service"] for entry in routes})
-        document = {
-            "revision": self._revision,
-            "routes": list(routes),
-            "services": [{"name": name} for name in services],
-        }
+        services = [{"name": name} for name in sorted({entry["service"] for entry in routes})]
+        document = {"revision": self._revision, "routes": list(routes), "services": services}
         encoded = ujson.dumps(document).encode()
-        self.routes = parse_routes(encoded)
         self.store.view.document = encoded
         self.store.view.versions["config"] = self._revision
         self.store._on_view_change({"config"})
-        if hasattr(self, "runner"):
-            self.runner.update_pollers()
+        return encoded
 
     def register(self, *workers: tuple[str, str]) -> None:
         """Sets the registered workers, each given by id and service."""
--- a/tests/tier/core_simulation.py
+++ b/tests/tier/core_simulation.py
@@ -37,6 +37,7 @@
 from tests.tier.register_history import Answer, Call
 
 RealRandom = random.Random  # the original class, which the simulation replaces by streams of the test's seed
+BATCH_ROUTE = "lots"  # of every simulated configuration
 PORT, CONTROL_PORT = 7720, 8166
 MESSAGE_DELAYS = (0.0005, 0.002, 0.005, 0.03)  # seconds; one is chosen at random for each message
 DUPLICATE_SHARE = 0.02  # share of the one-way messages that arrive twice
@@ -441,7 +442,13 @@
 def document(revision: int, content: str) -> bytes:
     """Returns a valid configuration, whose content tells it from others of the same revision."""
     route = {"name": "a", "hostname": "h", "path_prefix": "/a/", "timeout_ms": 100, "service": "s"}
-    configuration = {"revision": revision, "content": content, "routes": [route], "services": [{"name": "s"}]}
+    batch_route = {**route, "name": BATCH_ROUTE, "path_prefix": "/lots/", "route_type": "batch"}
+    configuration = {
+        "revision": revision,
+        "content": content,
+        "routes": [route, batch_route],
+        "services": [{"name": "s"}],
+    }
     return ujson.dumps(configuration).encode()
 
 
--- a/tests/tier/store_simulation.py
+++ b/tests/tier/store_simulation.py
@@ -43,6 +43,7 @@
     SubmitRequest,
 )
 from tests.tier.core_simulation import (
+    BATCH_ROUTE,
     PORT,
     InvariantViolation,
     SimulatedCore,
@@ -53,7 +54,7 @@
 from tests.tier.power_loss import Crashed, SyncedFiles
 from tests.tier.virtual_loop import VirtualLoop
 
-ROUTE = "lots"
+ROUTE = BATCH_ROUTE
 MAX_ITEMS = 4
 ITEM_TOKENS = 10  # of each item
 QUEUED_TOKENS_QUOTA = 160  # tokens that may be queued in a shard
--- a/tests/tier/test_deregistered_workers.py
+++ b/tests/tier/test_deregistered_workers.py
@@ -129,7 +129,7 @@
         routes = Routes(1, {"h": [route(RouteType.BATCH)]})
         runner = BatchRunner("edge", mock.Mock(), admission, mock.Mock(), lambda: routes)
         runner._polled_at[SHARD] = math.inf
-        item = RunningItem(LeasedItem(job="j", host="h"), BatchItem(id=ID, path="/p"), SHARD)
+        item = RunningItem(LeasedItem(job="j", host="h", route="r"), BatchItem(id=ID, path="/p"), SHARD)
         return await runner._run_attempts(item), item.event_data
 
     @staticmethod
