store: periodic work goes on when a shard is placed during a commit

Callers would see items of a silent dispatcher that nobody runs again: a storage node that was given its second shard while the periodic work of the first waited for a commit never did that work again.

Change: it goes over a copy.

--- a/heronstall/controlplane/store.py
+++ b/heronstall/controlplane/store.py
@@ -201,7 +201,7 @@
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL)
             now = self.host.now()
-            for group, owned in self.shards.items():
+            for group, owned in list(self.shards.items()):  # one may be placed during a commit
                 replica = self.host.groups[group].replica
                 wanted = self.view.replicas_of(group)
                 if wanted:
