tier: long-lived tasks that fail are logged and started again

Cause: both programs started their loops and never looked at them.

Change: BackgroundTasks owns them: an exception is logged with its stack and the task is started again after 0.1 s, doubled up to 5 s. The loop of a node's replicas is logged alone, since a replica may be half changed. Reports that were being sent when their loop failed are kept; deferred work that raises does not take the queue with it.

--- a/heronstall/controlplane/core.py
+++ b/heronstall/controlplane/core.py
@@ -85,7 +85,9 @@
             forms_group = self.settings.bootstrap and self.address in seeds and group not in known
             if forms_group and self.host.replica_id.endswith("#0"):
                 hosted.replica.bootstrap(self.host.now(), tuple(sorted(f"{s}#0" for s in seeds)))
-        await self._start_serving(self._maintain_membership_and_sessions(), self._run_maintenance())
+        await self._start_serving(
+            membership=self._maintain_membership_and_sessions, maintenance=self._run_maintenance
+        )
 
     # ------------------------------------------------------------------ used by the HTTP API
 
--- a/heronstall/controlplane/replica_node.py
+++ b/heronstall/controlplane/replica_node.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
 from pathlib import Path
-from typing import Any
 
+from heronstall.background_tasks import BackgroundTasks, Run
 from heronstall.config import NodeSettings
 from heronstall.controlplane.hosting import GroupHost
 from heronstall.replication.protocol import Timing
@@ -41,7 +40,7 @@
         self.host.on_applied = self._on_applied
         self.host.on_role_change = self._on_role_change
         self._server = LinkServer(self._handle_call, self._handle_one_way)
-        self._tasks: list[asyncio.Task[None]] = []
+        self._background = BackgroundTasks()
 
     async def stop(self) -> None:
         """Hands over its leaderships and stops."""
@@ -49,15 +48,16 @@
             hosted.replica.transfer_leadership(self.host.now())
         self.host.flush()
         await asyncio.sleep(HANDOVER_SEND_TIME)
-        for task in self._tasks:
-            task.cancel()
+        self._background.cancel()
         self._server.close()
 
-    async def _start_serving(self, *coroutines: Coroutine[Any, Any, None]) -> None:
-        """Writes the initial state, listens to other nodes and starts the background tasks."""
+    async def _start_serving(self, **loops: Run) -> None:
+        """Writes the initial state, listens to other nodes and starts the background tasks, given by name."""
         self.host.flush()
         await self._server.listen(self.settings.ip, self.settings.port)
-        self._tasks = [asyncio.create_task(coroutine) for coroutine in (self.host.run(), *coroutines)]
+        self._background.start_once("replicas", self.host.run)  # a replica may have been left half changed
+        for name, run in loops.items():
+            self._background.start(name, run)
 
     async def _handle_call(self, kind: Kind, body: bytes) -> Reply | LargeReply:
         """Answers a call of another node."""
--- a/heronstall/controlplane/store.py
+++ b/heronstall/controlplane/store.py
@@ -139,7 +139,7 @@
         """Restores the shards from disk and starts to serve other nodes."""
         for group in self.host.recovered_groups:
             self._add(group)
-        await self._start_serving(self._puller.run(), self._run_maintenance())
+        await self._start_serving(pulling=self._puller.run, maintenance=self._run_maintenance)
 
     # ------------------------------------------------------------------ groups
 
--- a/heronstall/dataplane/batch_runner.py
+++ b/heronstall/dataplane/batch_runner.py
@@ -8,11 +8,13 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 import aiohttp
 import structlog
 from multidict import CIMultiDict
 
+from heronstall.background_tasks import BackgroundTasks
 from heronstall.batch.leases import MAX_ITEMS_PER_CALL
 from heronstall.batch.outcomes import Outcome
 from heronstall.dataplane.admission import Admission
@@ -112,7 +114,8 @@
         self._sent_reports: dict[str, list[ItemReport]] = {}  # in flight, by shard
         self._calls = 0  # number of lease calls
         self._reports_added = asyncio.Event()
-        self._pollers: dict[str, asyncio.Task[None]] = {}
+        self._pollers = BackgroundTasks()
+        self._polled_shards: set[str] = set()
         self._polled_at: dict[str, float] = {}
         self._lease_limits: dict[str, int] = {}  # most items to request in one call, by shard
         self._slot_freed = asyncio.Event()  # set when a slot is freed, then replaced by a new event
@@ -131,8 +134,9 @@
         """Starts polling the shards of all hosts that have batch routes."""
         routes = self._routes()
         wanted = {batch_shard(host) for host in routes.batch_hosts()}
-        for shard in wanted - set(self._pollers):
-            self._pollers[shard] = asyncio.create_task(self._poll(shard))
+        for shard in wanted - self._polled_shards:
+            self._polled_shards.add(shard)
+            self._pollers.start(f"poll {shard}", partial(self._poll, shard))
 
     def return_items_without_route(self) -> None:
         """Returns the items that wait here for a worker and whose route the configuration lacks.
@@ -148,10 +152,15 @@
         self._view_updated.set()
         self._view_updated = asyncio.Event()
 
+    def cancel(self) -> None:
+        """Ends the polling when the process ends."""
+        self._pollers.cancel()
+
     async def send_reports(self) -> None:
         """Sends reports until cancelled."""
         while True:
-            await self._reports_added.wait()
+            if not self._reports:
+                await self._reports_added.wait()
             self._reports_added.clear()
             for shard in list(self._reports):
                 await self._send_reports(shard)
@@ -159,11 +168,16 @@
     async def _send_reports(self, shard: str) -> None:
         reports = self._sent_reports[shard] = self._reports.pop(shard)
         call = bytes(FinishRequest(self.holder, reports, shard))
-        reply = await self._shards.call(shard, Kind.FINISH, call, REPORT_TIMEOUT_S, owner_wait=0.8)
-        del self._sent_reports[shard]
-        if reply.status != Status.OK:
-            self._reports[shard] = reports + self._reports.get(shard, [])
-            self._reports_added.set()
+        acknowledged = False
+        try:
+            reply = await self._shards.call(shard, Kind.FINISH, call, REPORT_TIMEOUT_S, owner_wait=0.8)
+            acknowledged = reply.status == Status.OK
+        finally:
+            del self._sent_reports[shard]
+            if not acknowledged:
+                self._reports[shard] = reports + self._reports.get(shard, [])
+                self._reports_added.set()
+        if not acknowledged:
             await asyncio.sleep(REPORT_RETRY_DELAY_S)
 
     async def stop(self) -> None:
--- a/heronstall/dataplane/deferred.py
+++ b/heronstall/dataplane/deferred.py
@@ -25,6 +25,18 @@
     released: asyncio.Future[None]
 
 
+QueuedWork = tuple[tuple[int, int], DeferredWork]  # with its rank and its deadline in microseconds
+
+
+def _can_start(work: DeferredWork) -> bool:
+    """Returns whether work leaves the queue. If that cannot be told, it does so with the exception."""
+    try:
+        return work.can_start()
+    except Exception as error:
+        work.released.set_exception(error)
+        return True
+
+
 class DeferredQueue:
     """Releases work in order of deadline while workers have capacity; when busy, only work that is due."""
 
@@ -54,20 +66,22 @@
             self._switch_updated_at = now
             self.switch.update(int(now * MICROSECONDS), self._utilisation())
         # Work that is not due, or finds no capacity, does not block work behind it.
-        still_queued: list[tuple[tuple[int, int], DeferredWork]] = []
+        still_queued: list[QueuedWork] = []
         blocked_groups: set[Hashable] = set()
         while self._queue:
             key, work = self._queue.first()
             self._queue.pop()
             if work.released.done():
                 continue
-            postponed = self.switch.busy and work.due > now
-            if not postponed and work.group not in blocked_groups and work.can_start():
-                work.released.set_result(None)
-                continue
-            if not postponed and work.group is not None:
-                blocked_groups.add(work.group)
-            still_queued.append((key, work))
+            if self.switch.busy and work.due > now:
+                still_queued.append((key, work))
+            elif work.group not in blocked_groups and _can_start(work):
+                if not work.released.done():
+                    work.released.set_result(None)
+            else:
+                still_queued.append((key, work))
+                if work.group is not None:
+                    blocked_groups.add(work.group)
         for key, work in still_queued:
             self._queue.push(key, work)
 
--- a/heronstall/dataplane/node.py
+++ b/heronstall/dataplane/node.py
@@ -10,6 +10,7 @@
 import structlog
 from aiohttp import web
 
+from heronstall.background_tasks import BackgroundTasks
 from heronstall.config import NodeSettings
 from heronstall.dataplane.admission import Admission
 from heronstall.dataplane.batch_api import BatchApi
@@ -85,7 +86,7 @@
         self.puller = StatePuller(
             self.links, self.view, self._session, seeds, self._apply_changes, self._apply_reply
         )
-        self._tasks: list[asyncio.Task[None]] = []
+        self._background = BackgroundTasks()
         self.front = HttpServer(
             self.ingress.handle,
             server_limits(settings.memory_mb, settings.max_fds),
@@ -96,14 +97,11 @@
 
     async def start(self) -> None:
         """Starts pulling the control state and listening."""
-        runs = (
-            self.puller.run(),
-            self.runner.send_reports(),
-            self.deferred.run(),
-            self.pool.end_silent_attempts(),
-            self.misses.run(),
-        )
-        self._tasks = [asyncio.create_task(run) for run in runs]
+        self._background.start("pull state", self.puller.run)
+        self._background.start("send reports", self.runner.send_reports)
+        self._background.start("release deferred work", self.deferred.run)
+        self._background.start("end silent attempts", self.pool.end_silent_attempts)
+        self._background.start("log misses", self.misses.run)
         await self.front.listen(self.settings.listen["front"])
         await self._readiness.listen(self.settings.listen["readiness"])
 
@@ -130,8 +128,8 @@
         await asyncio.sleep(CLOSE_TIMEOUT_S)
         self.misses.log_tallies()
         self._log_drain("ended", started_at)
-        for task in self._tasks:
-            task.cancel()
+        self._background.cancel()
+        self.runner.cancel()
 
     def _log_drain(self, step: str, started_at: float) -> None:
         connections = self.front.connections
--- a/heronstall/transport/http_server.py
+++ b/heronstall/transport/http_server.py
@@ -18,6 +18,7 @@
 import structlog
 from aiohttp import web
 
+from heronstall.background_tasks import BackgroundTasks
 from heronstall.transport.connection_limits import RequestLimits, ServerLimits
 from heronstall.transport.http_connection import MAX_LINE_BYTES, HttpConnection, RequestRefused, refusal
 from heronstall.transport.open_connections import OpenConnections
@@ -75,7 +76,7 @@
         )
         self._listener: socket.socket | None = None
         self._starting: set[asyncio.Task[Any]] = set()  # accepted sockets without a connection yet
-        self._sweeping: asyncio.Task[None] | None = None
+        self._background = BackgroundTasks()
 
     @property
     def connections(self) -> list[HttpConnection]:
@@ -91,7 +92,7 @@
         listener.bind((host, int(port)))
         listener.listen(BACKLOG)
         self._resume_accepting()
-        self._sweeping = asyncio.create_task(self._sweep())
+        self._background.start("close overdue connections", self._sweep)
 
     def closes_connection_after(self, request: web.BaseRequest) -> bool:
         """Whether a connection is to be closed after a response that starts now."""
@@ -199,8 +200,7 @@
     async def _stop_listening(self) -> None:
         """Closes the listener after every accepted socket became a registered connection."""
         listener, self._listener = self._listener, None
-        if self._sweeping is not None:
-            self._sweeping.cancel()
+        self._background.cancel()
         if listener is None:
             return
         asyncio.get_running_loop().remove_reader(listener.fileno())
--- a/tests/tier/batch_play.py
+++ b/tests/tier/batch_play.py
@@ -21,6 +21,7 @@
 import ujson
 from multidict import CIMultiDict
 
+from heronstall.background_tasks import BackgroundTasks
 from heronstall.batch.items import set_items
 from heronstall.batch.outcomes import Outcome
 from heronstall.config import node_settings
@@ -233,14 +234,15 @@
 
     @contextlib.contextmanager
     def _running(self) -> Iterator[None]:
-        loops = (
-            self.store.host.run(),
-            self.store._run_maintenance(),
-            self.deferred.run(),
-            self.runner.send_reports(),
-            self.pool.end_silent_attempts(),
-        )
-        tasks = [asyncio.create_task(loop) for loop in loops]
+        tasks = BackgroundTasks()
+        for run in (
+            self.store.host.run,
+            self.store._run_maintenance,
+            self.deferred.run,
+            self.runner.send_reports,
+            self.pool.end_silent_attempts,
+        ):
+            tasks.start(run.__qualname__, run)
         request = mock.patch.object(
             WorkerState, "request", lambda worker, *args: self._request(worker, *args)
         )
@@ -248,8 +250,7 @@
             with request:
                 yield
         finally:
-            for task in tasks:
-                task.cancel()
+            tasks.cancel()
 
 
 async def play(use: Callable[[BatchPlay], Awaitable[None]]) -> None:
--- a/tests/tier/core_simulation.py
+++ b/tests/tier/core_simulation.py
@@ -273,9 +273,10 @@
         server = self.network.servers.pop(address, None)
         if not power_loss:
             self.network.refusing.add(address)
-        for task in [*(node._tasks if node else ()), *(server.tasks if server else ())]:
+        for task in server.tasks if server else ():
             task.cancel()
         if node is not None:
+            node._background.cancel()
             node.host.flush = lambda: None  # type: ignore[method-assign]
 
     def lose_disk(self, ip: str) -> None:
--- a/tests/tier/test_oncall.py
+++ b/tests/tier/test_oncall.py
@@ -9,6 +9,7 @@
 
 ROOT = Path(__file__).parents[2]
 PACKAGES = ("controlplane", "dataplane", "transport", "storage", "sessions", "replication", "distribution")
+SOURCES = (*(f"{package}/**/*.py" for package in PACKAGES), "background_tasks.py")
 LEVELS = frozenset({"debug", "info", "warning", "error", "exception", "critical"})
 HEADING = "## The serving tier"
 
@@ -34,14 +35,13 @@
             if row.startswith("| `")
         }
         logged: set[str] = set()
-        for package in PACKAGES:
-            for path in sorted((ROOT / "heronstall" / package).rglob("*.py")):
-                for event, fields in events(path.read_text()):
-                    logged.add(f"`{event}`")
-                    with self.subTest(event=event, file=path.name):
-                        self.assertIn(f"`{event}`", rows)
-                        for name in fields:
-                            self.assertIn(f"`{name}`", rows[f"`{event}`"])
+        for path in sorted(p for source in SOURCES for p in (ROOT / "heronstall").glob(source)):
+            for event, fields in events(path.read_text()):
+                logged.add(f"`{event}`")
+                with self.subTest(event=event, file=path.name):
+                    self.assertIn(f"`{event}`", rows)
+                    for name in fields:
+                        self.assertIn(f"`{name}`", rows[f"`{event}`"])
         self.assertEqual(set(rows) - logged, set(), "documented but never logged")
 
 
