dispatcher: one attempt of a batch item is a module of its own

RunningItem and what makes one attempt at one worker are in item_attempts.py now (ItemAttempts). Moved only: names that were private to the file lose their underscore, nothing else changes. Tests import from the new place and make attempts without a runner.

--- a/heronstall/dataplane/batch_runner.py
+++ b/heronstall/dataplane/batch_runner.py
@@ -7,32 +7,16 @@
 import time
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from functools import partial
 
-import aiohttp
-import structlog
-from multidict import CIMultiDict
-
 from heronstall.background_tasks import BackgroundTasks
 from heronstall.batch.leases import MAX_ITEMS_PER_CALL
 from heronstall.batch.outcomes import Outcome
 from heronstall.dataplane.admission import Admission
-from heronstall.dataplane.attempts import ITEM_SILENCE_S, Attempt
 from heronstall.dataplane.deferred import DeferredQueue
-from heronstall.dataplane.events import EventReader
-from heronstall.dataplane.forwarding import (
-    LAST_EVENT_HEADER,
-    PROMPT_PREFIX_HEADER,
-    REQUEST_ID_HEADER,
-    TARGET_HEADER,
-    TOKEN_USAGE_HEADER,
-)
-from heronstall.dataplane.framing import is_framed
+from heronstall.dataplane.item_attempts import ItemAttempts, RunningItem, shared_prefix
 from heronstall.dataplane.misses import EndedItem, MissLog
-from heronstall.dataplane.prefixes import SharedPrefix, parse_shared_prefix, parse_token_usage
 from heronstall.dataplane.shard_client import ShardClient
-from heronstall.dataplane.workers import UnsendablePath, WorkerState, record_target
 from heronstall.distribution.shards import batch_shard
 from heronstall.routing.routes import Route, Routes
 from heronstall.transport.event_waits import wait_at_most
@@ -49,8 +33,6 @@
     LeaseShare,
 )
 
-log = structlog.get_logger()
-
 POLL_HOLD_S = 0.45  # for which the owner may hold a lease call
 POLL_RETRY_DELAY_S = 0.05
 POLL_TIMEOUT_S = 2.0  # of a lease call
@@ -58,9 +40,6 @@
 SLOT_GATHER_S = 0.45
 OWNER_STALE_S = 1.5  # without a reply of the owner, after which no item is started
 EXPECTED_RUN_TIME_S = 1.5  # approximate run time of an item
-# Factor by which an item's next attempt waits longer after one that was ended for silence. The worker may be
-# slow rather than dark, and an item that is always ended before its first event would never be done.
-SILENCE_BACKOFF = 2.0
 VIEW_UPDATE_TIMEOUT_S = (
     2.0  # without a control node's answer, after which an item without a route is returned
 )
@@ -71,23 +50,6 @@
 REPORT_RETRY_DELAY_S = 0.1  # before an unacknowledged report is sent again
 
 
-@dataclass
-class RunningItem:
-    """An item that this dispatcher has leased."""
-
-    leased: LeasedItem
-    request: BatchItem
-    shard: str
-    service: str = ""  # whose room it takes: of its latest worker, or where it is expected to run
-    event_data: list[bytes] = field(default_factory=list)
-    last_event: int | None = None
-    leased_at: float = field(default_factory=time.monotonic)
-    started_at: float = 0.0  # monotonic time at which it left the deferred queue; 0 before
-    attempts: list[Attempt] = field(default_factory=list)
-    silent_attempts: int = 0  # those that were ended since their worker was silent
-    task: asyncio.Task[None] | None = None
-
-
 class BatchRunner:
     """Leases and runs the batch items of this dispatcher."""
 
@@ -105,6 +67,7 @@
         self.holder = f"{name}/{secrets.token_hex(4)}"
         self.stopping = False
         self._shards, self._admission, self._routes = shards, admission, routes
+        self._attempts = ItemAttempts(admission)
         self._deferred = deferred
         self._misses = misses or MissLog()
         self._view_complete_until = view_complete_until
@@ -390,7 +353,7 @@
                 return route
             owner_is_reachable = time.monotonic() - self._polled_at.get(item.shard, 0.0) < OWNER_STALE_S
             service = self._admission.choose_service(route)
-            prefix = _prefix(item.request)
+            prefix = shared_prefix(item.request)
             worker = (
                 self._admission.pick(service, prefix, tried, for_item=True) if owner_is_reachable else None
             )
@@ -400,7 +363,7 @@
                 pause = min(0.4, pause * 1.5)
                 continue
             item.service = service
-            outcome = await self._attempt(item, worker)
+            outcome = await self._attempts.make(item, worker)
             if outcome is not None:
                 return outcome
             tried.add(worker.entry.id)
@@ -422,84 +385,6 @@
             if not await wait_at_most(updated, VIEW_UPDATE_TIMEOUT_S):
                 return Outcome.RETURNED
 
-    async def _attempt(self, item: RunningItem, worker: WorkerState) -> Outcome | None:
-        """Makes one attempt at one worker. Returns None if another attempt may continue after it."""
-        admission = self._admission
-        admission.record_sent(worker)
-        worker.items += 1
-        succeeded = False
-        upstream: aiohttp.ClientResponse | None = None
-        attempt: Attempt | None = None
-        try:
-            async with asyncio.timeout(None) as limit:
-                attempt = worker.attempts.begin(
-                    limit, ITEM_SILENCE_S, _prompt_tokens(item.request), SILENCE_BACKOFF**item.silent_attempts
-                )
-                record_target(attempt, worker)
-                item.attempts.append(attempt)
-                upstream = await worker.request(
-                    "POST", item.request.path, _headers(item, worker), item.request.body
-                )
-                outcome = await self._read_response(item, worker, attempt, upstream)
-            succeeded = True
-            return outcome
-        except UnsendablePath:
-            return Outcome.UNPROCESSABLE
-        except (aiohttp.ClientError, ConnectionError, TimeoutError):
-            if attempt is not None and attempt.timeout.expired():
-                item.silent_attempts += 1
-            admission.record_failure(worker)
-            return None
-        finally:
-            if upstream is not None and not succeeded:
-                upstream.close()
-            if attempt is not None:
-                worker.attempts.finish(attempt)
-            worker.items -= 1
-            admission.record_finished(worker, succeeded)
-
-    async def _read_response(
-        self, item: RunningItem, worker: WorkerState, attempt: Attempt, upstream: aiohttp.ClientResponse
-    ) -> Outcome | None:
-        worker.learn_keep_alive(upstream.headers.get("Keep-Alive"))
-        if upstream.headers.get(REQUEST_ID_HEADER) != item.request.id:
-            raise aiohttp.ClientPayloadError("the response belongs to another request")
-        if upstream.status in (200, 500):
-            self._admission.record_response(worker, upstream.status)
-        if upstream.status != 200:
-            await upstream.read()
-            if upstream.status == 422:
-                return Outcome.UNPROCESSABLE
-            if upstream.status == 500:
-                return Outcome.FAILED
-            if upstream.status == 503:
-                self._admission.record_overload(worker)
-            return None
-        if not is_framed(upstream):
-            raise aiohttp.ClientPayloadError("the response has neither a length nor chunks")
-        reader = EventReader()
-        while True:
-            chunk = await upstream.content.readany()
-            if not chunk:
-                break
-            if attempt.first_event_at:
-                worker.attempts.record_data(attempt)
-            else:
-                worker.attempts.record_first_event(attempt)
-            for event in reader.feed(chunk):
-                self._record_event(item, event.id, event.data)
-        if reader.partial:
-            raise aiohttp.ClientPayloadError("the last event is incomplete")
-        return Outcome.DONE
-
-    @staticmethod
-    def _record_event(item: RunningItem, event_id: int | None, data: bytes) -> None:
-        if event_id is not None:
-            if item.last_event is not None and event_id <= item.last_event:
-                return
-            item.last_event = event_id
-        item.event_data.append(data)
-
 
 def limit_shares(shares: list[LeaseShare], most: int) -> list[LeaseShare]:
     """Returns the shares with at most this many items together; the first ones are kept."""
@@ -529,26 +414,3 @@
         started_at=item.started_at,
         attempts=item.attempts,
     )
-
-
-def _header(request: BatchItem, name: str) -> str:
-    return next((h.value for h in request.headers if h.name.lower() == name.lower()), "")
-
-
-def _prefix(request: BatchItem) -> SharedPrefix:
-    return parse_shared_prefix(_header(request, PROMPT_PREFIX_HEADER))
-
-
-def _prompt_tokens(request: BatchItem) -> int:
-    """Returns the length of an item's prompt, or a limit of it if no header states the length."""
-    return parse_token_usage(_header(request, TOKEN_USAGE_HEADER)).prompt or request.tokens
-
-
-def _headers(item: RunningItem, worker: WorkerState) -> CIMultiDict[str]:
-    headers: CIMultiDict[str] = CIMultiDict((h.name, h.value) for h in item.request.headers)
-    headers["Host"] = item.leased.host
-    headers[REQUEST_ID_HEADER] = item.request.id
-    headers[TARGET_HEADER] = worker.entry.id
-    if item.last_event is not None:
-        headers[LAST_EVENT_HEADER] = str(item.last_event)
-    return headers
--- a/tests/tier/lease_model.py
+++ b/tests/tier/lease_model.py
@@ -21,7 +21,8 @@
 from heronstall.batch.leases import CLAIM_WINDOW, MAX_RETRY_DELAY, LeaseQueue
 from heronstall.batch.outcomes import Outcome
 from heronstall.controlplane.store import OwnedShard, Store
-from heronstall.dataplane.batch_runner import BatchRunner, RunningItem
+from heronstall.dataplane.batch_runner import BatchRunner
+from heronstall.dataplane.item_attempts import RunningItem
 from heronstall.transport.messages import (
     BatchItem,
     BatchJob,
--- a/tests/tier/test_attempt_ends.py
+++ b/tests/tier/test_attempt_ends.py
@@ -16,8 +16,8 @@
 from heronstall.batch.outcomes import Outcome
 from heronstall.dataplane.admission import Admission
 from heronstall.dataplane.attempt_ends import END_RULES, AttemptEnd, EndRule, Refusal, may_retry
-from heronstall.dataplane.batch_runner import BatchRunner, RunningItem
 from heronstall.dataplane.forwarding import REQUEST_ID_HEADER, Forwarder, RequestContext
+from heronstall.dataplane.item_attempts import ItemAttempts, RunningItem
 from heronstall.dataplane.workers import WorkerPool, WorkerState
 from heronstall.routing.routes import Route, RouteType
 from heronstall.transport.messages import BatchItem, LeasedItem, Worker
@@ -390,9 +390,9 @@
 
     async def outcome(self, reply: bytes) -> Outcome | None:
         await self.workers(Behaviour(reply), Behaviour())
-        runner = BatchRunner("edge", mock.Mock(), self.admission, mock.Mock(), mock.Mock())
+        attempts = ItemAttempts(self.admission)
         item = RunningItem(LeasedItem(job="j", host="h"), BatchItem(id=ID, path="/p", body=BODY), "batch-0")
-        return await runner._attempt(item, self.pool.by_id["w1"])
+        return await attempts.make(item, self.pool.by_id["w1"])
 
     async def test_a_response_with_another_id_says_nothing_about_an_item(self) -> None:
         for status, own in ((422, Outcome.UNPROCESSABLE), (500, Outcome.FAILED), (503, None), (421, None)):
--- a/tests/tier/test_batch_runner.py
+++ b/tests/tier/test_batch_runner.py
@@ -8,7 +8,8 @@
 from unittest import mock
 
 from heronstall.batch.outcomes import Outcome
-from heronstall.dataplane.batch_runner import BatchRunner, RunningItem
+from heronstall.dataplane.batch_runner import BatchRunner
+from heronstall.dataplane.item_attempts import RunningItem
 from heronstall.routing.routes import Routes
 from heronstall.transport.frames import Kind, Status
 from heronstall.transport.links import Reply
--- a/tests/tier/test_deregistered_workers.py
+++ b/tests/tier/test_deregistered_workers.py
@@ -19,8 +19,9 @@
 from heronstall.batch.outcomes import Outcome
 from heronstall.dataplane.admission import Admission
 from heronstall.dataplane.attempts import ITEM_SILENCE_S, REQUEST_SILENCE_S
-from heronstall.dataplane.batch_runner import BatchRunner, RunningItem
+from heronstall.dataplane.batch_runner import BatchRunner
 from heronstall.dataplane.forwarding import LAST_EVENT_HEADER, REQUEST_ID_HEADER, Forwarder, RequestContext
+from heronstall.dataplane.item_attempts import RunningItem
 from heronstall.dataplane.workers import SILENCE_CHECK_INTERVAL_S, WorkerPool, WorkerState
 from heronstall.routing.routes import Route, Routes, RouteType
 from heronstall.transport.messages import BatchItem, LeasedItem, Worker
--- a/tests/tier/test_framing.py
+++ b/tests/tier/test_framing.py
@@ -13,9 +13,9 @@
 
 from heronstall.batch.outcomes import Outcome
 from heronstall.dataplane.admission import Admission
-from heronstall.dataplane.batch_runner import BatchRunner, RunningItem
 from heronstall.dataplane.forwarding import REQUEST_ID_HEADER, Forwarder, RequestContext
 from heronstall.dataplane.framing import is_framed
+from heronstall.dataplane.item_attempts import ItemAttempts, RunningItem
 from heronstall.dataplane.workers import WorkerPool
 from heronstall.routing.routes import Route, RouteType
 from heronstall.transport.messages import BatchItem, LeasedItem, Worker
@@ -88,9 +88,9 @@
         for name, payload in {"complete": COMPLETE, "complete in chunks": CHUNKED, **TRUNCATED}.items():
             self.payload = payload
             with self.subTest(name):
-                runner = BatchRunner("edge", mock.Mock(), self.admission, mock.Mock(), mock.Mock())
+                attempts = ItemAttempts(self.admission)
                 item = RunningItem(LeasedItem(job="j", host="h"), BatchItem(id="r", path="/p"), "batch-0")
-                outcome = await runner._attempt(item, self.worker)
+                outcome = await attempts.make(item, self.worker)
                 self.assertEqual(outcome, Outcome.DONE if name.startswith("complete") else None)
 
 
--- a/tests/tier/test_item_routes.py
+++ b/tests/tier/test_item_routes.py
@@ -19,7 +19,8 @@
 
 from heronstall.batch.outcomes import Outcome
 from heronstall.config import NodeSettings, node_settings
-from heronstall.dataplane.batch_runner import VIEW_UPDATE_TIMEOUT_S, RunningItem
+from heronstall.dataplane.batch_runner import VIEW_UPDATE_TIMEOUT_S
+from heronstall.dataplane.item_attempts import RunningItem
 from heronstall.dataplane.node import DispatcherNode
 from heronstall.distribution.freshness import MAX_STATE_STALENESS
 from heronstall.lab.tier.client import HOST, LOTS, configuration
@@ -134,7 +135,7 @@
             node.puller._seeds, node.puller._preferred_node = list(CONTROL_NODES), CONTROL_NODES[0]
             runner = node.runner
             runner._poll = mock.AsyncMock()  # type: ignore[method-assign]
-            runner._attempt = mock.AsyncMock(return_value=Outcome.DONE)  # type: ignore[method-assign]
+            runner._attempts.make = mock.AsyncMock(return_value=Outcome.DONE)  # type: ignore[method-assign]
             runner._polled_at[SHARD] = math.inf
             node.admission.pick = mock.Mock()  # type: ignore[method-assign]
             pulling = asyncio.create_task(node.puller.run())
