dispatcher: a request that was never forwarded is refused after a stall

Clients got 500 for a job that no server had seen, when the process had stood still past their deadline and the grace after it. After 500 they must not try again on their own; 503 says that the job has not run.

Cause: the last guard of a request that the decisions left unanswered always failed it, also where nothing of it had been written.

Change: it refuses a request of which no attempt may have run. Not where other dispatchers may take this one's jobs over: a process that stood still cannot know what they did.

Evidence: test_standstill.py: 500 != 503 before, passes now; a forwarded request gets 500 in both. test_admin_endpoint.py (Bans) leaves the known reds: its one failure was forced by such a stall.

--- a/heronstall/net/dispatcher.py
+++ b/heronstall/net/dispatcher.py
@@ -233,6 +233,13 @@
             self.post(i.ClientGone(session.number))
             self._forget(session)
 
+    def was_never_run(self, session: Session) -> bool:
+        """Returns whether the job of a session that has ended has not run and certainly never will.
+
+        A process that stood still cannot tell if others have taken its jobs over, where a guard lets them.
+        """
+        return self.guard is None and session.over and session.first_possible_run is None
+
     def may_start(self, session: Session) -> bool:
         """Returns whether an attempt's first byte may be written now.
 
--- a/heronstall/net/frontend.py
+++ b/heronstall/net/frontend.py
@@ -403,7 +403,8 @@
                 log_event(log, events.REQUEST_LATE_IN_DRAIN, request=job.id)
             else:
                 log_event(log, events.REQUEST_UNANSWERED, request=job.id)
-            yield from self._send_answer(connection, Answer("failed"))
+            never_run = self._dispatcher.was_never_run(session)
+            yield from self._send_answer(connection, Answer("refused" if never_run else "failed"))
         return True
 
     def _make_job(self, request: h11.Request, body: bytes) -> Job:
