store: a lease call looks at each wanted route once, not once an item

The queue by route compared the next items of all wanted routes for every item that it leased. They are in a heap now.

The order of the items is the same.

--- a/heronstall/batch/leases.py
+++ b/heronstall/batch/leases.py
@@ -5,6 +5,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Collection, Iterable, Mapping, Set
 from dataclasses import dataclass
+from heapq import heapify, heappop, heapreplace
 from typing import NamedTuple, TypeAlias
 
 from sortedcontainers import SortedDict
@@ -161,13 +162,15 @@
         if now < self._claim_window_end:
             return grants
         self.resume_paused(now)
+        candidates = [
+            self._next_of_route(now, route)
+            for route in (self._waiting if routes is None else routes)
+            if route in self._waiting
+        ]
+        heapify(candidates)
         size = 0
-        while len(grants) < max_items and size < max_bytes:
-            following = self._next_item(now, self._waiting if routes is None else routes)
-            if following is None:
-                break
-            key = self._waiting[following.route][following.position]
-            self._remove(key)
+        while candidates and len(grants) < max_items and size < max_bytes:
+            key = self._take(now, candidates)
             job = self._shard.jobs.get(key[0])
             if job is not None and key[1] in job.open_items and not job.ended:
                 self._last_lease_number += 1
@@ -187,16 +190,19 @@
             grants += granted
         return grants
 
-    def _next_item(self, now: float, routes: Iterable[str]) -> NextItem | None:
-        """Returns the item of these routes that is to be leased next."""
-        candidates = [
-            self._next_of_route(now, route, self._waiting[route])
-            for route in routes
-            if route in self._waiting
-        ]
-        return min(candidates, default=None)
-
-    def _next_of_route(self, now: float, route: str, queue: Queue) -> NextItem:
+    def _take(self, now: float, candidates: list[NextItem]) -> ItemKey:
+        """Removes the first of the candidates, a heap with the next item of each route, from its queue."""
+        route, position = candidates[0].route, candidates[0].position
+        key: ItemKey = self._waiting[route][position]
+        self._remove(key)
+        if route in self._waiting:
+            heapreplace(candidates, self._next_of_route(now, route))
+        else:
+            heappop(candidates)
+        return key
+
+    def _next_of_route(self, now: float, route: str) -> NextItem:
+        queue = self._waiting[route]
         in_time_from = queue.bisect_left((now + self._run_estimate, 0))
         is_overdue = in_time_from == len(queue)
         position, _ = queue.peekitem(0 if is_overdue else in_time_from)
